--- /dev/null
+++ b/cmd/wirehost/main.go
@@ -0,0 +1,16 @@
+// Command wirehost serves the decision module on standard input and output.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"bendtrestle/internal/wire"
+)
+
+func main() {
+	if err := wire.Serve(os.Stdin, os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "wirehost:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/wire/wire.go
@@ -0,0 +1,260 @@
+// Package wire speaks the simulator's JSON lines: each event goes straight into a call of the decision
+// module, and each call that the module makes on its host becomes a line of the reply.
+package wire
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"strconv"
+
+	"bendtrestle/logic"
+
+	"github.com/valyala/fastjson"
+)
+
+var outcomes = map[string]logic.Outcome{
+	"served": logic.Finished, "server_error": logic.Error, "turned_away": logic.TurnedAway,
+	"no_answer": logic.NoAnswer, "no_connection": logic.NoConnection, "connection_lost": logic.ConnectionLost,
+	"called_off": logic.Withdrawn, "not_sent": logic.NotSent, "not_stored": logic.NotStored,
+}
+
+var modes = map[string]logic.Mode{"in_service": logic.InService, "terminating": logic.Draining}
+
+var kinds = map[string]logic.ListKind{
+	"diff": logic.Diff, "snapshot": logic.Snapshot, "disk": logic.Disk, "error": logic.Failed,
+}
+
+var effects = map[string]logic.Effect{"retryable": logic.Reissuable, "dedup": logic.Numbered}
+
+var groups = map[string]logic.Group{"all": logic.All, "zone": logic.Zone}
+
+// session is one conversation: the instances it hosts share nothing but the sheets, which no one changes.
+type session struct {
+	out       *bufio.Writer
+	buf       []byte
+	instances map[uint64]*instance
+	sheets    map[uint64][]logic.Member
+	now       float64
+}
+
+// instance is one router and its host.
+type instance struct {
+	s      *session
+	id     uint64
+	router *logic.Router
+}
+
+// Serve answers batches until the input ends. It returns nil when the input ends between two batches.
+func Serve(in io.Reader, out io.Writer) error {
+	s := &session{out: bufio.NewWriterSize(out, 1<<16), instances: map[uint64]*instance{},
+		sheets: map[uint64][]logic.Member{}}
+	lines := bufio.NewReaderSize(in, 1<<16)
+	var parser fastjson.Parser
+	var text []byte
+	inBatch, turn := false, uint64(0)
+	for {
+		var err error
+		if text, err = readLine(lines, text[:0]); err != nil {
+			if errors.Is(err, io.EOF) && len(text) == 0 && !inBatch {
+				return nil
+			}
+			if errors.Is(err, io.EOF) {
+				return errors.New("input ended inside a batch")
+			}
+			return err
+		}
+		v, err := parser.ParseBytes(text)
+		if err != nil {
+			return fmt.Errorf("malformed line: %w", err)
+		}
+		if v.Type() != fastjson.TypeObject {
+			return errors.New("malformed line: not an object")
+		}
+		m := &message{v: v, name: string(v.GetStringBytes("m"))}
+		switch {
+		case m.name == "CLOCK" && !inBatch:
+			s.now, turn, inBatch = m.seconds("clock"), m.id("turn"), true
+		case m.name == "CLOCK":
+			return errors.New("CLOCK: inside a batch")
+		case !inBatch:
+			return fmt.Errorf("%s: outside a batch", m.name)
+		case m.name == "YOUR_TURN":
+			s.line("OK").uint("turn", turn).end()
+			inBatch = false
+			if err := s.out.Flush(); err != nil {
+				return err
+			}
+		default:
+			s.event(m)
+		}
+		if m.err != nil {
+			return m.err
+		}
+	}
+}
+
+func readLine(in *bufio.Reader, line []byte) ([]byte, error) {
+	for {
+		part, err := in.ReadSlice('\n')
+		line = append(line, part...)
+		if err == nil || !errors.Is(err, bufio.ErrBufferFull) {
+			return line, err
+		}
+	}
+}
+
+// event hands one event to the instance it names.
+func (s *session) event(m *message) {
+	if m.name == "SHEET" {
+		s.sheets[m.id("table")] = m.members()
+		return
+	}
+	if m.v.Get("router") == nil && !known[m.name] {
+		return
+	}
+	id := m.id("router")
+	if m.name == "KILL" {
+		delete(s.instances, id)
+		return
+	}
+	if m.name == "ENLIST" {
+		seed, set := uint32(m.id("seed")), m.sub("setup").settings()
+		if m.err == nil {
+			i := &instance{s: s, id: id}
+			s.instances[id] = i
+			set.Seed = seed
+			i.guard(func() { i.router = logic.New(s.now, set, i) })
+		}
+		return
+	}
+	if i := s.instances[id]; i != nil && i.router != nil {
+		i.guard(func() { i.take(m) })
+	}
+}
+
+// known are the events that must name a router.
+var known = map[string]bool{"ENLIST": true, "KILL": true, "DIRECTORY_UPDATE": true, "ACCEPT": true,
+	"HEAD_RECEIVED": true, "SETTLED": true, "GONE": true, "WAKE": true, "PROBE_RESULT": true, "MESSAGE": true}
+
+// guard turns a panic of the module into a report for its instance.
+func (i *instance) guard(call func()) {
+	defer func() {
+		if p := recover(); p != nil {
+			i.s.line("FATAL").uint("router", i.id).text("what", fmt.Sprint(p)).end()
+		}
+	}()
+	call()
+}
+
+func (i *instance) take(m *message) {
+	now := i.s.now
+	switch m.name {
+	case "DIRECTORY_UPDATE":
+		form := m.text("form")
+		kind, ok := kinds[form]
+		if !ok && m.err == nil {
+			m.err = fmt.Errorf("%s: form: unknown %q", m.name, form)
+		}
+		members := i.s.sheets[m.count("table")]
+		if m.err == nil {
+			i.router.Listed(now, kind, members)
+		}
+	case "ACCEPT":
+		id, band, left := m.id("txn"), m.text("band"), m.seconds("remaining")
+		realm, key, write := m.name0("realm"), m.text("key"), m.flag("isWrite")
+		if m.err == nil {
+			i.router.Arrived(now, id, band, realm, key, write, left)
+		}
+	case "HEAD_RECEIVED":
+		id, n := m.id("txn"), int(m.count("n"))
+		if m.err == nil {
+			i.router.Began(now, id, n)
+		}
+	case "SETTLED":
+		id, n, reason, lag := m.id("txn"), int(m.count("n")), outcomes[m.text("reason")], m.seconds("lag")
+		final, detail := m.flag("final"), int(m.count("detail"))
+		if m.err == nil {
+			i.router.Settled(now, id, n, reason, lag, final, detail)
+		}
+	case "GONE":
+		if id := m.id("txn"); m.err == nil {
+			i.router.Left(now, id)
+		}
+	case "WAKE":
+		if name := m.text("name"); m.err == nil {
+			i.router.Wake(now, name)
+		}
+	case "PROBE_RESULT":
+		m.id("server")
+	}
+}
+
+// The host's side: each call is a line of the reply.
+
+func (i *instance) Execute(operation, server uint64, limit float64) {
+	i.s.line("CALL_OUT").uint("router", i.id).uint("txn", operation).uint("server", server).
+		time("limit", limit).end()
+}
+
+func (i *instance) Withdraw(operation uint64, n int) {
+	i.s.line("WITHDRAW").uint("router", i.id).uint("txn", operation).uint("n", uint64(n)).end()
+}
+
+func (i *instance) Decline(operation uint64, retryAfter float64) {
+	i.s.line("BOUNCE").uint("router", i.id).uint("txn", operation).time("pause", retryAfter).end()
+}
+
+func (i *instance) Terminate(operation uint64) {
+	i.s.line("RESPOND_ERROR").uint("router", i.id).uint("txn", operation).end()
+}
+
+func (i *instance) SetTimer(delay float64, name string) {
+	i.s.line("SET_TIMER").uint("router", i.id).time("delay", delay).text("name", name).end()
+}
+
+func (i *instance) Watch(on bool) {
+	i.s.line("WATCH").uint("router", i.id).flag("want", on).end()
+}
+
+// line starts a line of the reply; the methods below add fields to it.
+func (s *session) line(name string) *session {
+	s.buf = append(append(append(s.buf[:0], `{"m":"`...), name...), '"')
+	return s
+}
+
+func (s *session) field(name string) {
+	s.buf = append(append(append(s.buf, `,"`...), name...), `":`...)
+}
+
+func (s *session) uint(name string, x uint64) *session {
+	s.field(name)
+	s.buf = strconv.AppendUint(s.buf, x, 10)
+	return s
+}
+
+func (s *session) time(name string, x float64) *session {
+	s.field(name)
+	s.buf = strconv.AppendInt(s.buf, int64(math.Round(x*1e9)), 10)
+	return s
+}
+
+func (s *session) flag(name string, x bool) *session {
+	s.field(name)
+	s.buf = strconv.AppendBool(s.buf, x)
+	return s
+}
+
+func (s *session) text(name, x string) *session {
+	s.field(name)
+	quoted, _ := json.Marshal(x) // a string always marshals
+	s.buf = append(s.buf, quoted...)
+	return s
+}
+
+func (s *session) end() {
+	s.out.Write(append(s.buf, '}', '\n')) // an error stays with the writer until Flush
+}
--- /dev/null
+++ b/logic/logic.go
@@ -0,0 +1,668 @@
+// Package logic is bendtrestle's decision module. A router process makes one Router with New and then calls
+// one method for each thing that happens: Listed, Arrived, Began, Settled, Left, Wake. The module answers
+// by calling the Host it was handed, before the method returns. Host and the plain types are in host.go.
+// Time is in seconds and comes in with each call; equal calls lead to equal actions.
+package logic
+
+import (
+	"encoding/binary"
+	"hash/crc32"
+	"math"
+	"math/bits"
+	"slices"
+	"strconv"
+	"sync"
+)
+
+// The table of circular hypervectors, the same at every router (docs/design.md).
+const (
+	dimensions = 10000                    // d, the design's start
+	slots      = 4096                     // n, the design's start: several times the cache count
+	flips      = dimensions / (slots / 2) // d/m, rounded down
+	tableSeed  = 0x8d3a                   // any value serves, as long as all routers share it
+)
+
+type vector [(dimensions + 63) / 64]uint64
+
+// table builds the circle by the paper's Algorithm 1: flips are queued on the way out and undone, first in
+// first out, on the way back.
+var table = sync.OnceValue(func() *[slots]vector {
+	var circle [slots]vector
+	draws := uint32(0)
+	draw := func() uint32 { draws++; return mix(tableSeed, uint64(draws)) }
+	for w := range circle[0] {
+		circle[0][w] = uint64(draw())<<32 | uint64(draw())
+	}
+	circle[0][len(vector{})-1] &= 1<<(dimensions%64) - 1
+	var queue []vector
+	for i := 1; i < slots; i++ {
+		var t vector
+		if i < slots/2 {
+			for set := 0; set < flips; {
+				bit := draw() % dimensions
+				if t[bit/64]>>(bit%64)&1 == 0 {
+					t[bit/64] |= 1 << (bit % 64)
+					set++
+				}
+			}
+			queue = append(queue, t)
+		} else if len(queue) > 0 {
+			t, queue = queue[0], queue[1:]
+		}
+		for w := range t {
+			circle[i][w] = circle[i-1][w] ^ t[w]
+		}
+	}
+	return &circle
+})
+
+func distance(a, b *vector) (bitsApart int) {
+	for w := range a {
+		bitsApart += bits.OnesCount64(a[w] ^ b[w])
+	}
+	return bitsApart
+}
+
+// mix hashes a number. crc32 alone is affine: sums of two inputs compare alike under any seed, so its bits
+// are stirred before anyone compares them.
+func mix(seed uint32, x uint64) uint32 {
+	var b [8]byte
+	binary.LittleEndian.PutUint64(b[:], x)
+	return stir(crc32.Update(seed, crc32.IEEETable, b[:]) ^ seed)
+}
+
+func stir(h uint32) uint32 {
+	h = (h ^ h>>16) * 0x85ebca6b
+	h = (h ^ h>>13) * 0xc2b2ae35
+	return h ^ h>>16
+}
+
+// Router is one instance of the module.
+type Router struct {
+	host    Host
+	set     Settings
+	now     float64
+	draws   uint64
+	rows    map[string]*row
+	tenants map[string]*tenant
+	servers map[uint64]*server // every server that a list has named
+	ready   []*server          // the caches in service, by id
+	origins []*server          // the origin's servers in service, by id
+	orders  [slots][]point     // a slot's points by similarity, kept until membership changes
+	ops     map[uint64]*operation
+	spare   float64 // further executions that may still be made
+	flow    float64 // executions finished a second, lately
+	flowAt  float64
+	asked   float64 // when the list was last asked for; 0: nothing is owed
+	wait    float64 // before the list is asked for again after an error
+}
+
+// row is the table of what differs by traffic type.
+type row struct {
+	TrafficType
+	lag, spread float64 // a finished execution's time and its mean deviation, as seen
+}
+
+type tenant struct {
+	rate, tokens, at float64 // its share at this router: a token an operation
+}
+
+// server is all that is known of one cache server, or of one server of the origin.
+type server struct {
+	Member
+	points  int // its places on the circle
+	out     []*execution
+	strain  float64 // recent time of an execution over its promised time
+	heard   float64 // when strain last changed
+	fails   int     // failures since the last success
+	until   float64 // passed over until then, after failures
+	down    bool    // refused connections since it last answered
+	fresh   float64 // when it is taken to have started; 0: long ago
+	budget  float64 // executions that may be sent to it while it is cold
+	filled  float64 // when budget was last filled
+	limit   float64 // origin: executions it may hold of this router
+	lowered float64 // origin: when limit was last lowered
+}
+
+type point struct {
+	on   *server
+	rank int // the place's number among its server's
+	far  int // Hamming distance to the slot
+}
+
+type operation struct {
+	id         uint64
+	row        *row
+	hash       uint32
+	write      bool
+	over       bool // beyond its tenant's share
+	began      bool // its stream has begun
+	answered   bool
+	arrived    float64
+	hardStop   float64
+	executions []*execution
+}
+
+type execution struct {
+	of       *operation
+	on       *server
+	n        int
+	sent     float64
+	out      bool
+	harmless bool // it is proved that it never ran
+}
+
+// New starts an instance.
+func New(now float64, set Settings, host Host) *Router {
+	r := &Router{host: host, set: set, now: now, rows: map[string]*row{}, tenants: map[string]*tenant{},
+		servers: map[uint64]*server{}, ops: map[uint64]*operation{}, flowAt: now}
+	for _, t := range set.TrafficTypes {
+		// Until seen, an execution is expected to take a quarter of the promised time: most sites promise
+		// several times the mean work.
+		r.rows[t.Name] = &row{TrafficType: t, lag: t.PromisedTime / 4, spread: t.PromisedTime / 8}
+	}
+	for _, t := range set.Tenants {
+		rate := t.Quota / float64(max(1, set.Routers))
+		r.tenants[t.Name] = &tenant{rate: rate, tokens: rate, at: now}
+	}
+	if set.OnRequest {
+		r.watch()
+	}
+	return r
+}
+
+// chance draws a number from 0 up to 1.
+func (r *Router) chance() float64 {
+	r.draws++
+	return float64(mix(r.set.Seed, r.draws)) / (1 << 32)
+}
+
+// The list of servers.
+
+func (r *Router) watch() {
+	r.asked = r.now
+	r.host.Watch(true)
+	r.host.SetTimer(max(1, r.set.AskWithin/2), "watch") // asks again if nothing came at all
+}
+
+// Listed takes an update of the list.
+func (r *Router) Listed(now float64, kind ListKind, members []Member) {
+	r.now = now
+	if kind == Failed {
+		// The wait doubles up to half of askWithin, so that failed calls do not keep the list service full.
+		r.wait = min(max(2*r.wait, r.set.AskWithin/16, r.set.Step), max(r.set.AskWithin/2, 1))
+		r.asked = 0
+		r.host.SetTimer(r.wait*(0.5+r.chance()), "rewatch")
+		return
+	}
+	if kind != Disk {
+		r.asked, r.wait = 0, 0
+	}
+	seen := map[*server]bool{}
+	for _, m := range members {
+		s := r.servers[m.ID]
+		if s == nil {
+			s = &server{limit: 4} // the origin's start: a few at once, grown by what it bears
+			r.servers[m.ID] = s
+		}
+		if m.Mode == InService && (m.Started > s.Started || s.Mode != InService) {
+			*s = server{limit: s.limit, out: s.out, fresh: m.Started, filled: now, budget: 1}
+		}
+		s.Member = m
+		seen[s] = true
+	}
+	if kind != Diff {
+		for _, s := range r.servers {
+			if !seen[s] {
+				s.Mode = Gone
+			}
+		}
+	}
+	r.regroup()
+}
+
+// places is the number of points on the circle of the largest cache: with one point the shares follow the
+// gaps between neighbours; 16 bring the largest share to about one and a half times the mean.
+const places = 16
+
+// regroup sets up the ready caches after a change of membership.
+func (r *Router) regroup() {
+	r.ready, r.origins = nil, nil
+	largest := 0.0
+	for _, s := range r.servers {
+		switch {
+		case s.Mode != InService:
+		case r.set.Aside && s.Kind == r.set.OriginKind:
+			r.origins = append(r.origins, s)
+		default:
+			r.ready = append(r.ready, s)
+			largest = max(largest, s.Capacity)
+		}
+	}
+	byID := func(a, b *server) int { return compare(a.ID, b.ID) }
+	slices.SortFunc(r.ready, byID)
+	slices.SortFunc(r.origins, byID)
+	for _, s := range r.ready {
+		s.points = places
+		if r.set.HintsFixed && largest > 0 {
+			s.points = max(1, int(math.Round(places*s.Capacity/largest)))
+		}
+	}
+	clear(r.orders[:])
+}
+
+func compare[T uint64 | uint32 | int](a, b T) int {
+	if a < b {
+		return -1
+	} else if a > b {
+		return 1
+	}
+	return 0
+}
+
+// order gives the points of the ready caches by similarity to a slot.
+func (r *Router) order(slot uint32) []point {
+	if r.orders[slot] == nil {
+		circle := table()
+		for _, s := range r.ready {
+			for rank := range s.points {
+				at := mix(uint32(rank), s.ID) % slots
+				r.orders[slot] = append(r.orders[slot], point{s, rank, distance(&circle[slot], &circle[at])})
+			}
+		}
+		slices.SortFunc(r.orders[slot], func(a, b point) int {
+			if a.far != b.far {
+				return compare(a.far, b.far)
+			}
+			return compare(a.on.ID, b.on.ID)
+		})
+	}
+	return r.orders[slot]
+}
+
+// nearest is the design's pick: of the caches that pass, the one most similar to the key; ties go by a hash
+// of key and server id. A fresh cache answers for as many of its points as its warmth allows.
+func (r *Router) nearest(hash uint32, pass func(*server) bool) (best *server) {
+	tie, far := uint32(0), 0
+	for _, p := range r.order(hash % slots) {
+		if best != nil && p.far > far {
+			break
+		}
+		if float64(p.rank) >= math.Ceil(float64(p.on.points)*r.warmth(p.on)) || !pass(p.on) {
+			continue
+		}
+		if h := mix(hash, p.on.ID); best == nil || h < tie {
+			best, tie, far = p.on, h, p.far
+		}
+	}
+	return best
+}
+
+// crowded is the design's pass-over: more than twice the mean of this router's executions in flight per
+// cache, and at least two.
+func (r *Router) crowded(s *server) bool {
+	total := 0
+	for _, c := range r.ready {
+		total += len(c.out)
+	}
+	return len(s.out) >= 2 && len(s.out)*len(r.ready) > 2*total
+}
+
+// warmth is the part of its capacity that a cache has for certain: the settings' slowest warming.
+func (r *Router) warmth(s *server) float64 {
+	if s.fresh == 0 || r.set.WarmWithin <= 0 || r.now-s.fresh >= r.set.WarmWithin {
+		return 1
+	}
+	from := min(max(r.set.StartCapacity, 0), 1)
+	return from + (1-from)*max(0, r.now-s.fresh)/r.set.WarmWithin
+}
+
+// tips guards the fourth rule: a cold cache gets a budget that fills with half of what the rule allows a
+// cache of the mean size. A cache's capacity is at least what caches are seen to finish; when all routers
+// keep to their own part so do all together.
+func (r *Router) tips(s *server) bool {
+	w := r.warmth(s)
+	if w >= 1 || r.set.Fall <= 0 {
+		return false
+	}
+	mean := r.flow * math.Exp(-(r.now-r.flowAt)/r.set.WarmWithin) / float64(max(1, len(r.ready)))
+	// Unseen capacity counts for one execution in the rule's time.
+	rate := r.set.TipMultiple * max(w*mean/2, 1/r.set.Fall/float64(max(1, r.set.Routers)))
+	s.budget = min(s.budget+rate*(r.now-s.filled), max(1, rate*r.set.Fall/4))
+	s.filled = r.now
+	return s.budget < 1
+}
+
+// sick tells whether a cache is passed over for its failures. After the wait it is tried by one execution
+// at a time until one succeeds.
+func (r *Router) sick(s *server) bool {
+	return s.fails >= 3 && (r.now < s.until || len(s.out) > 0)
+}
+
+// choose picks the cache for an operation's next execution, or none.
+func (r *Router) choose(op *operation) *server {
+	sick := 0
+	for _, s := range r.ready {
+		if r.sick(s) {
+			sick++
+		}
+	}
+	// When half or more look bad the doubt falls on the view: the least bad serve on.
+	doubt := 2*sick >= len(r.ready)
+	tried := func(s *server) bool {
+		return slices.ContainsFunc(op.executions, func(e *execution) bool { return e.on == s })
+	}
+	can := func(s *server) bool { return !tried(s) && r.mayExecute(op, s) && !r.tips(s) }
+	s := r.nearest(op.hash, func(s *server) bool { return can(s) && (doubt || !r.sick(s)) && !r.crowded(s) })
+	if s == nil {
+		s = r.nearest(op.hash, can)
+	}
+	return s
+}
+
+// Operations.
+
+// Arrived takes an operation from a client, which gives up after left.
+func (r *Router) Arrived(now float64, id uint64, kind, realm, key string, write bool, left float64) {
+	r.now = now
+	t := r.rows[kind]
+	if t == nil { // a type that the settings lack: taken at its word that time is left, and never repeated
+		t = &row{TrafficType: TrafficType{Name: kind, PromisedTime: left, HardStop: left}, lag: left / 4}
+		r.rows[kind] = t
+	}
+	hash := stir(crc32.ChecksumIEEE([]byte(key)))
+	if key == "" {
+		hash = mix(r.set.Seed, id) // no key: spread over the circle
+	}
+	// The answer leaves a step before the client gives up, since it takes effect with a batch.
+	op := &operation{id: id, row: t, hash: hash, write: write, arrived: now, hardStop: now + left - r.set.Step}
+	if b := r.tenants[realm]; b != nil {
+		b.tokens = min(b.tokens+b.rate*(now-b.at), max(1, b.rate))
+		b.at = now
+		if op.over = b.tokens < 1; !op.over {
+			b.tokens--
+		}
+	}
+	r.ops[id] = op
+	r.spare = min(r.spare+0.1, 10) // a tenth more executions than operations at most: no storm of repeats
+	var s *server
+	if r.set.Aside && write {
+		s = r.origin(op)
+	} else {
+		s = r.choose(op)
+	}
+	if s == nil || r.strained(op, s) {
+		r.giveUp(op)
+		return
+	}
+	r.execute(op, s)
+}
+
+// strained tells whether to shed an operation, since its server takes too long: first what is beyond a
+// tenant's share, then what brings less benefit for its time.
+func (r *Router) strained(op *operation, s *server) bool {
+	if len(s.out) == 0 {
+		return false // nothing of ours is there: what was seen may be over
+	}
+	strain := s.strain * math.Exp(-(r.now-s.heard)/op.row.PromisedTime)
+	if oldest := s.out[0]; true {
+		strain = max(strain, (r.now-oldest.sent)/oldest.of.row.PromisedTime)
+	}
+	if op.over {
+		return strain > 0.3 // above what an execution takes where nothing waits
+	}
+	return strain > 0.8 // little hope for the promised time
+}
+
+// mayExecute and mayDecline guard the rules in one place.
+func (r *Router) mayExecute(op *operation, s *server) bool {
+	if op.answered || op.began || r.now >= op.hardStop || s.Mode != InService ||
+		r.set.MostExecutions > 0 && len(op.executions) >= r.set.MostExecutions {
+		return false
+	}
+	for _, e := range op.executions {
+		switch {
+		case e.out && !r.set.SecondCopies:
+			return false
+		case e.harmless || op.row.Effect == Reissuable:
+		case op.row.Effect == AtMostOnce || r.now-e.sent >= op.row.Window:
+			return false
+		case op.row.Group == Zone && e.on.Zone != s.Zone || op.row.Group == Cell && e.on.Cell != s.Cell:
+			return false
+		}
+	}
+	return true
+}
+
+func (r *Router) mayDecline(op *operation) bool {
+	if op.row.Effect == Reissuable || op.row.Effect == Numbered && op.row.Group == All {
+		return true
+	}
+	return !slices.ContainsFunc(op.executions, func(e *execution) bool { return !e.harmless })
+}
+
+func (r *Router) execute(op *operation, s *server) {
+	if !r.mayExecute(op, s) {
+		panic("an execution that the rules forbid")
+	}
+	e := &execution{of: op, on: s, n: len(op.executions), sent: r.now, out: true}
+	op.executions = append(op.executions, e)
+	s.out = append(s.out, e)
+	s.budget--
+	limit := op.hardStop - r.now
+	// Waited for so long that one more execution still fits into the promised time.
+	patience := max(op.row.lag+4*op.row.spread, op.row.PromisedTime/4)
+	patience = min(patience, op.arrived+op.row.PromisedTime-op.row.lag-r.now)
+	if patience > op.row.lag && op.row.Effect == Reissuable && !r.isOrigin(s) {
+		if r.set.SecondCopies {
+			r.host.SetTimer(patience, strconv.FormatUint(op.id, 10))
+		} else if after := op.arrived + op.row.PromisedTime - op.row.lag - r.now; after < limit {
+			limit = after
+		}
+	}
+	r.host.Execute(op.id, s.ID, limit)
+}
+
+// Began takes the start of a stream: there is no hard stop from here on, and no other execution.
+func (r *Router) Began(now float64, id uint64, n int) {
+	r.now = now
+	op := r.ops[id]
+	if op == nil || n < 0 || n >= len(op.executions) {
+		return
+	}
+	op.began = true
+	for _, e := range op.executions {
+		if e.out && e.n != n && r.set.Cancelling {
+			r.host.Withdraw(id, e.n)
+		}
+	}
+}
+
+// Settled takes the end of an execution.
+func (r *Router) Settled(now float64, id uint64, n int, how Outcome, lag float64, final bool, detail int) {
+	r.now = now
+	op := r.ops[id]
+	if op == nil || n < 0 || n >= len(op.executions) || !op.executions[n].out {
+		return
+	}
+	e := op.executions[n]
+	e.out = false
+	e.harmless = how == TurnedAway || how == NoConnection || how == NotSent || how == NotStored
+	e.on.out = slices.DeleteFunc(e.on.out, func(x *execution) bool { return x == e })
+	r.learn(e, how, lag)
+	if final {
+		op.answered = true
+		r.withdraw(op)
+	}
+	if !op.answered {
+		r.further(op, e, how)
+	}
+	r.forget(op)
+}
+
+// learn keeps what an outcome says of its server.
+func (r *Router) learn(e *execution, how Outcome, lag float64) {
+	s, t := e.on, e.of.row
+	switch how {
+	case Finished, NotStored:
+		if s.down && s.fails > 0 { // it refused connections and is back: it may have started anew, cold
+			s.fresh, s.filled, s.budget = r.now, r.now, 1
+		}
+		s.fails, s.down = 0, false
+		if r.set.WarmWithin > 0 && !r.isOrigin(s) {
+			r.flow = r.flow*math.Exp(-(r.now-r.flowAt)/r.set.WarmWithin) + 1/r.set.WarmWithin
+			r.flowAt = r.now
+		}
+	case Error, TurnedAway, NoConnection, ConnectionLost, NoAnswer, Unknown:
+		if how == NoAnswer && lag < t.lag {
+			return // it had no time to answer
+		}
+		s.fails++
+		if s.down = s.down || how == NoConnection; s.down {
+			s.fails = max(s.fails, 3)
+		}
+		// Passed over for the promised time at first, doubled with each failure up to the warm-up's length.
+		s.until = r.now + min(t.PromisedTime*math.Pow(2, float64(s.fails-3)), max(t.PromisedTime, r.set.WarmWithin))
+	default:
+		return
+	}
+	if r.isOrigin(s) {
+		r.bear(s, how, lag, t)
+	}
+	if how == Finished {
+		t.spread += (math.Abs(lag-t.lag) - t.spread) / 16
+		t.lag += (lag - t.lag) / 16
+	}
+	if t.PromisedTime > 0 && how != NotStored {
+		s.strain += (lag/t.PromisedTime - s.strain) / 8
+		s.heard = r.now
+	}
+}
+
+// further goes on with an operation after an execution that brought no answer.
+func (r *Router) further(op *operation, e *execution, how Outcome) {
+	if slices.ContainsFunc(op.executions, func(x *execution) bool { return x.out }) {
+		return
+	}
+	if how == NotStored && !r.isOrigin(e.on) {
+		if s := r.origin(op); s != nil && op.hardStop-r.now > s.expect(op) {
+			r.execute(op, s)
+			return
+		}
+		r.giveUp(op)
+		return
+	}
+	if op.hardStop-r.now > op.row.lag && (e.harmless || r.spare >= 1) {
+		var s *server
+		if r.isOrigin(e.on) {
+			s = r.origin(op)
+		} else {
+			s = r.choose(op)
+		}
+		if s != nil && r.mayExecute(op, s) {
+			if !e.harmless {
+				r.spare--
+			}
+			r.execute(op, s)
+			return
+		}
+	}
+	r.giveUp(op)
+}
+
+// expect is the time that an execution on s is expected to take.
+func (s *server) expect(op *operation) float64 { return s.strain * op.row.PromisedTime }
+
+// giveUp sends the final answer of an operation that will get no other, at once.
+func (r *Router) giveUp(op *operation) {
+	op.answered = true
+	r.withdraw(op)
+	if r.mayDecline(op) {
+		pause := 0.0
+		if r.set.RetryAfter {
+			pause = min(op.row.PromisedTime*(0.5+r.chance()), r.set.MaxRetryAfter)
+		}
+		r.host.Decline(op.id, pause)
+	} else {
+		r.host.Terminate(op.id)
+	}
+	r.forget(op)
+}
+
+func (r *Router) withdraw(op *operation) {
+	for _, e := range op.executions {
+		if e.out && r.set.Cancelling && !op.began {
+			r.host.Withdraw(op.id, e.n)
+		}
+	}
+}
+
+// forget drops an operation that is answered and has nothing out.
+func (r *Router) forget(op *operation) {
+	if op.answered && !slices.ContainsFunc(op.executions, func(e *execution) bool { return e.out }) {
+		delete(r.ops, op.id)
+	}
+}
+
+// Left takes the client's departure.
+func (r *Router) Left(now float64, id uint64) {
+	r.now = now
+	if op := r.ops[id]; op != nil {
+		op.answered = true
+		r.withdraw(op)
+		r.forget(op)
+	}
+}
+
+// Wake takes a timer. One named by an operation sends a second copy, if its time is worth it.
+func (r *Router) Wake(now float64, name string) {
+	r.now = now
+	switch name {
+	case "watch":
+		if r.asked > 0 && now-r.asked >= max(1, r.set.AskWithin/2)-r.set.Step {
+			r.watch()
+		}
+		return
+	case "rewatch":
+		r.watch()
+		return
+	}
+	id, _ := strconv.ParseUint(name, 10, 64)
+	op := r.ops[id]
+	if op == nil || op.answered || len(op.executions) != 1 || r.spare < 1 ||
+		op.arrived+op.row.PromisedTime-now < op.row.lag {
+		return
+	}
+	if s := r.choose(op); s != nil {
+		r.spare--
+		r.execute(op, s)
+	}
+}
+
+// The origin.
+
+func (r *Router) isOrigin(s *server) bool { return r.set.Aside && s.Kind == r.set.OriginKind }
+
+// origin picks the least busy server of the origin that bears one more, or none.
+func (r *Router) origin(op *operation) (best *server) {
+	for _, s := range r.origins {
+		if r.mayExecute(op, s) && float64(len(s.out)) < s.limit &&
+			(best == nil || len(s.out) < len(best.out)) {
+			best = s
+		}
+	}
+	return best
+}
+
+// bear moves the bound of what the origin is sent: up by one for each full round that it answers in half of
+// the promised time, down by a third, once a round, where it does not.
+func (r *Router) bear(s *server, how Outcome, lag float64, t *row) {
+	if how == Finished && lag < t.PromisedTime/2 {
+		if float64(len(s.out))+1 >= s.limit/2 {
+			s.limit += 1 / s.limit
+		}
+	} else if r.now-s.lowered > lag {
+		s.limit = max(1, s.limit*2/3)
+		s.lowered = r.now
+	}
+}
