--- a/logic/logic.go
+++ b/logic/logic.go
@@ -411,7 +411,7 @@
 	if op.over {
 		return strain > 0.3 // above what an execution takes where nothing waits
 	}
-	return strain > 0.8 // little hope for the promised time
+	return strain > 0.4+0.4*r.chance() // from there on ever less hope for the promised time
 }
 
 // mayExecute and mayDecline guard the rules in one place.
