Cut executions off early only on a server that just failed

Told from too little capacity by a tally of the reasons for giving up: two thirds had one execution cut off and no other allowed.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -456,8 +456,10 @@
 	if patience > op.row.lag && op.row.Effect == Reissuable && !r.isOrigin(s) {
 		if r.set.SecondCopies {
 			r.host.SetTimer(patience, strconv.FormatUint(op.id, 10))
-		} else if after := op.arrived + op.row.PromisedTime - op.row.lag - r.now; after < limit {
-			limit = after
+		} else if s.fails > 0 && r.spare >= 1 {
+			// Where work cannot be doubled, it is cut off only on a server that just failed: a cut stops no
+			// work there, and where all are slow another execution would fare no better.
+			limit = min(limit, op.arrived+op.row.PromisedTime-op.row.lag-r.now)
 		}
 	}
 	r.host.Execute(op.id, s.ID, limit)
