--- a/logic/logic.go
+++ b/logic/logic.go
@@ -408,10 +408,11 @@
 	if oldest := s.out[0]; true {
 		strain = max(strain, (r.now-oldest.sent)/oldest.of.row.PromisedTime)
 	}
+	bound := 0.4 + 0.4*r.chance() // a ramp: ever less hope for the promised time
 	if op.over {
-		return strain > 0.3 // above what an execution takes where nothing waits
+		bound *= math.Sqrt(r.set.OverBenefit) // what is worth little yields early: its harm grows with the strain
 	}
-	return strain > 0.4+0.4*r.chance() // from there on ever less hope for the promised time
+	return strain > bound
 }
 
 // mayExecute and mayDecline guard the rules in one place.
