--- a/logic/logic.go
+++ b/logic/logic.go
@@ -104,7 +104,7 @@
 }
 
 type tenant struct {
-	rate, tokens, at float64 // its share at this router: a token an operation
+	part, rate, tokens, at float64 // its part of all shares; its share at this router, a token an operation
 }
 
 // server is all that is known of one cache server, or of one server of the origin.
@@ -161,9 +161,13 @@
 		// several times the mean work.
 		r.rows[t.Name] = &row{TrafficType: t, lag: t.PromisedTime / 4, spread: t.PromisedTime / 8}
 	}
+	quotas := 0.0
+	for _, t := range set.Tenants {
+		quotas += max(0, t.Quota)
+	}
 	for _, t := range set.Tenants {
 		rate := t.Quota / float64(max(1, set.Routers))
-		r.tenants[t.Name] = &tenant{rate: rate, tokens: rate, at: now}
+		r.tenants[t.Name] = &tenant{part: t.Quota / max(1, quotas), rate: rate, tokens: rate, at: now}
 	}
 	if set.OnRequest {
 		r.watch()
@@ -377,7 +381,9 @@
 	// The answer leaves a step before the client gives up, since it takes effect with a batch.
 	op := &operation{id: id, row: t, hash: hash, write: write, arrived: now, hardStop: now + left - r.set.Step}
 	if b := r.tenants[realm]; b != nil {
-		b.tokens = min(b.tokens+b.rate*(now-b.at), max(1, b.rate))
+		// Routers may be down or draw unlike traffic: the share is of what this one finishes, if that is more.
+		rate := max(b.rate, b.part*r.flow*math.Exp(-(now-r.flowAt)/max(r.set.WarmWithin, 1)))
+		b.tokens = min(b.tokens+rate*(now-b.at), max(1, rate))
 		b.at = now
 		if op.over = b.tokens < 1; !op.over {
 			b.tokens--
