Tell from the time left which tries come too late, and let these yield first

Cause: clients' retries that can no longer be in time queue ahead of first tries. A client gives all its tries one hard stop, so a try with another time left than first tries has spent the rest.

--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -173,7 +173,7 @@
 		set.TrafficTypes = append(set.TrafficTypes, logic.TrafficType{Name: t.text("name"),
 			Effect: effects[t.text("effect")], Group: groups[t.text("keyScope")], Window: t.seconds("dedupWindow"),
 			PromisedTime: t.seconds("promisedTime"), HardStop: t.seconds("hardStop"),
-			Benefit: t.number("benefit"), Stream: t.flag("stream")})
+			Benefit: t.number("benefit"), OverdueBenefit: t.number("overdueBenefit"), Stream: t.flag("stream")})
 		t.done()
 	}
 	for _, t := range n.list("tenants") {
--- a/logic/host.go
+++ b/logic/host.go
@@ -82,14 +82,15 @@
 
 // TrafficType holds the settings of one traffic type.
 type TrafficType struct {
-	Name         string
-	Effect       Effect
-	Group        Group
-	Window       float64 // how long repeats of a numbered operation are dropped
-	PromisedTime float64
-	HardStop     float64
-	Benefit      float64
-	Stream       bool
+	Name           string
+	Effect         Effect
+	Group          Group
+	Window         float64 // how long repeats of a numbered operation are dropped
+	PromisedTime   float64
+	HardStop       float64
+	Benefit        float64
+	OverdueBenefit float64 // part of the benefit that an answer after the promised time brings
+	Stream         bool
 }
 
 // Tenant holds the settings of one tenant.
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -100,6 +100,8 @@
 // row is the table of what differs by traffic type.
 type row struct {
 	TrafficType
+	usual       float64 // the time that clients leave for a first try
+	votes       int     // for usual, less those against
 	lag, spread float64 // a finished execution's time and its mean deviation, as seen
 }
 
@@ -135,10 +137,10 @@
 	row        *row
 	hash       uint32
 	write      bool
-	over       bool // beyond its tenant's share
-	began      bool // its stream has begun
+	worth      float64 // part of its benefit that an answer may still bring
+	began      bool    // its stream has begun
 	answered   bool
-	arrived    float64
+	due        float64 // the end of its promised time
 	hardStop   float64
 	executions []*execution
 }
@@ -379,14 +381,29 @@
 		hash = mix(r.set.Seed, id) // no key: spread over the circle
 	}
 	// The answer leaves a step before the client gives up, since it takes effect with a batch.
-	op := &operation{id: id, row: t, hash: hash, write: write, arrived: now, hardStop: now + left - r.set.Step}
+	op := &operation{id: id, row: t, hash: hash, write: write, worth: 1, due: now + t.PromisedTime,
+		hardStop: now + left - r.set.Step}
 	if b := r.tenants[realm]; b != nil {
 		// Routers may be down or draw unlike traffic: the share is of what this one finishes, if that is more.
 		rate := max(b.rate, b.part*r.flow*math.Exp(-(now-r.flowAt)/max(r.set.WarmWithin, 1)))
 		b.tokens = min(b.tokens+rate*(now-b.at), max(1, rate))
 		b.at = now
-		if op.over = b.tokens < 1; !op.over {
-			b.tokens--
+		if b.tokens--; b.tokens < 0 {
+			b.tokens, op.worth = b.tokens+1, r.set.OverBenefit
+		}
+	}
+	// A client gives all its tries the hard stop together. Most, the first tries, come with the same time left,
+	// found by majority vote; on any other the rest of the hard stop is spent. What can no longer be in time
+	// must not crowd out what can.
+	switch same := math.Abs(left-t.usual) <= 2*r.set.Step; {
+	case same:
+		t.votes++
+	case t.votes == 0:
+		t.usual, t.votes = left, 1
+	default:
+		t.votes--
+		if op.due = now + left - t.HardStop + t.PromisedTime; op.due <= now {
+			op.worth *= t.OverdueBenefit
 		}
 	}
 	r.ops[id] = op
@@ -414,11 +431,8 @@
 	if oldest := s.out[0]; true {
 		strain = max(strain, (r.now-oldest.sent)/oldest.of.row.PromisedTime)
 	}
-	bound := 0.4 + 0.4*r.chance() // a ramp: ever less hope for the promised time
-	if op.over {
-		bound *= math.Sqrt(r.set.OverBenefit) // what is worth little yields early: its harm grows with the strain
-	}
-	return strain > bound
+	// A ramp, as hope for the promised time falls; what is worth little yields early.
+	return strain > (0.4+0.4*r.chance())*math.Sqrt(op.worth)
 }
 
 // mayExecute and mayDecline guard the rules in one place.
@@ -459,14 +473,14 @@
 	limit := op.hardStop - r.now
 	// Waited for so long that one more execution still fits into the promised time.
 	patience := max(op.row.lag+4*op.row.spread, op.row.PromisedTime/4)
-	patience = min(patience, op.arrived+op.row.PromisedTime-op.row.lag-r.now)
+	patience = min(patience, op.due-op.row.lag-r.now)
 	if patience > op.row.lag && op.row.Effect == Reissuable && !r.isOrigin(s) {
 		if r.set.SecondCopies {
 			r.host.SetTimer(patience, strconv.FormatUint(op.id, 10))
 		} else if s.fails > 0 && r.spare >= 1 {
 			// Where work cannot be doubled, it is cut off only on a server that just failed: a cut stops no
 			// work there, and where all are slow another execution would fare no better.
-			limit = min(limit, op.arrived+op.row.PromisedTime-op.row.lag-r.now)
+			limit = min(limit, op.due-op.row.lag-r.now)
 		}
 	}
 	r.host.Execute(op.id, s.ID, limit)
@@ -639,7 +653,7 @@
 	id, _ := strconv.ParseUint(name, 10, 64)
 	op := r.ops[id]
 	if op == nil || op.answered || len(op.executions) != 1 || r.spare < 1 ||
-		op.arrived+op.row.PromisedTime-now < op.row.lag {
+		op.due-now < op.row.lag {
 		return
 	}
 	if s := r.choose(op); s != nil {
