Measure slowness against each type's mean time, fading and bounded by sample

Cause: a server's strain mixed types of unlike promises, and one long execution weighed like a jam. Now a server's slowness is its executions' time over their type's mean, a sample counts four times the mean at most, what was seen fades within the promised time, and only a server silent since its oldest execution was sent counts as standing still.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -114,8 +114,8 @@
 	Member
 	points  int // its places on the circle
 	out     []*execution
-	strain  float64 // recent time of an execution over its promised time
-	heard   float64 // when strain last changed
+	slow    float64 // recent time of an execution over the mean of its type
+	heard   float64 // when slow last changed
 	fails   int     // failures since the last success
 	until   float64 // passed over until then, after failures
 	down    bool    // refused connections since it last answered
@@ -212,7 +212,7 @@
 			r.servers[m.ID] = s
 		}
 		if m.Mode == InService && (m.Started > s.Started || s.Mode != InService) {
-			*s = server{limit: s.limit, out: s.out, fresh: m.Started, filled: now, budget: 1}
+			*s = server{slow: 1, limit: s.limit, out: s.out, fresh: m.Started, filled: now, budget: 1}
 		}
 		s.Member = m
 		seen[s] = true
@@ -427,12 +427,14 @@
 	if len(s.out) == 0 {
 		return false // nothing of ours is there: what was seen may be over
 	}
-	strain := s.strain * math.Exp(-(r.now-s.heard)/op.row.PromisedTime)
-	if oldest := s.out[0]; true {
-		strain = max(strain, (r.now-oldest.sent)/oldest.of.row.PromisedTime)
+	takes := r.expect(op, s)
+	takes = max(takes, r.now-max(s.heard, s.out[0].sent)) // it may stand still
+	left := op.due - r.now
+	if left <= 0 {
+		left = op.row.PromisedTime
 	}
 	// A ramp, as hope for the promised time falls; what is worth little yields early.
-	return strain > (0.4+0.4*r.chance())*math.Sqrt(op.worth)
+	return takes > left*(0.4+0.4*r.chance())*math.Sqrt(op.worth)
 }
 
 // mayExecute and mayDecline guard the rules in one place.
@@ -556,8 +558,8 @@
 		t.spread += (math.Abs(lag-t.lag) - t.spread) / 16
 		t.lag += (lag - t.lag) / 16
 	}
-	if t.PromisedTime > 0 && how != NotStored {
-		s.strain += (lag/t.PromisedTime - s.strain) / 8
+	if t.lag > 0 && how != NotStored {
+		s.slow += (min(lag/t.lag, 4) - s.slow) / 8 // a single long one says little
 		s.heard = r.now
 	}
 }
@@ -568,7 +570,7 @@
 		return
 	}
 	if how == NotStored && !r.isOrigin(e.on) {
-		if s := r.origin(op); s != nil && op.hardStop-r.now > s.expect(op) {
+		if s := r.origin(op); s != nil && op.hardStop-r.now > r.expect(op, s) {
 			r.execute(op, s)
 			return
 		}
@@ -593,8 +595,11 @@
 	r.giveUp(op)
 }
 
-// expect is the time that an execution on s is expected to take.
-func (s *server) expect(op *operation) float64 { return s.strain * op.row.PromisedTime }
+// expect is the time that an execution on s is expected to take. What was seen of s fades within the
+// promised time, so that a server that is shunned is not held slow for ever.
+func (r *Router) expect(op *operation, s *server) float64 {
+	return op.row.lag * (1 + (s.slow-1)*math.Exp(-(r.now-s.heard)/op.row.PromisedTime))
+}
 
 // giveUp sends the final answer of an operation that will get no other, at once.
 func (r *Router) giveUp(op *operation) {
