Weigh shedding by benefit for the expected time

Cause: short operations of high benefit were shed as early as long ones. The bound now goes by the root of the benefit for a second's execution over the mean of what comes.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -93,6 +93,7 @@
 	spare   float64 // further executions that may still be made
 	flow    float64 // executions finished a second, lately
 	flowAt  float64
+	value   float64 // benefit for a second's execution, the mean of what was judged lately
 	asked   float64 // when the list was last asked for; 0: nothing is owed
 	wait    float64 // before the list is asked for again after an error
 }
@@ -434,7 +435,9 @@
 		left = op.row.PromisedTime
 	}
 	// A ramp, as hope for the promised time falls; what is worth little yields early.
-	return takes > left*(0.4+0.4*r.chance())*math.Sqrt(op.worth)
+	value := op.worth * op.row.Benefit / op.row.lag
+	r.value += (value - r.value) / 64
+	return takes > left*(0.4+0.4*r.chance())*math.Sqrt(value/r.value)
 }
 
 // mayExecute and mayDecline guard the rules in one place.
