--- a/logic/logic.go
+++ b/logic/logic.go
@@ -557,14 +557,15 @@
 	if r.isOrigin(s) {
 		r.bear(s, how, lag, t)
 	}
+	if how == NotStored || t.lag <= 0 || r.isOrigin(s) && !e.of.write {
+		return // neither a miss nor a read at the origin tells of the usual path
+	}
 	if how == Finished {
 		t.spread += (math.Abs(lag-t.lag) - t.spread) / 16
 		t.lag += (lag - t.lag) / 16
 	}
-	if t.lag > 0 && how != NotStored {
-		s.slow += (min(lag/t.lag, 4) - s.slow) / 8 // a single long one says little
-		s.heard = r.now
-	}
+	s.slow += (min(lag/t.lag, 4) - s.slow) / 8 // a single long one says little
+	s.heard = r.now
 }
 
 // further goes on with an operation after an execution that brought no answer.
