Give operations of little worth a smaller part of the origin's bound

Cause: reads beyond a share that missed, and writes beyond it, filled the order register's bound. They now get the root of their worth of it, and the origin's slowness sheds nothing.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -425,8 +425,8 @@
 // strained tells whether to shed an operation, since its server takes too long: first what is beyond a
 // tenant's share, then what brings less benefit for its time.
 func (r *Router) strained(op *operation, s *server) bool {
-	if len(s.out) == 0 {
-		return false // nothing of ours is there: what was seen may be over
+	if len(s.out) == 0 || r.isOrigin(s) {
+		return false // nothing of ours is there: what was seen may be over; the origin has a bound of its own
 	}
 	takes := r.expect(op, s)
 	takes = max(takes, r.now-max(s.heard, s.out[0].sent)) // it may stand still
@@ -678,7 +678,7 @@
 // origin picks the least busy server of the origin that bears one more, or none.
 func (r *Router) origin(op *operation) (best *server) {
 	for _, s := range r.origins {
-		if r.mayExecute(op, s) && float64(len(s.out)) < s.limit &&
+		if r.mayExecute(op, s) && float64(len(s.out)) < s.limit*math.Sqrt(op.worth) &&
 			(best == nil || len(s.out) < len(best.out)) {
 			best = s
 		}
