--- a/logic/logic.go
+++ b/logic/logic.go
@@ -5,6 +5,7 @@
 package logic
 
 import (
+	"cmp"
 	"encoding/binary"
 	"hash/crc32"
 	"math"
@@ -246,7 +247,7 @@
 			largest = max(largest, s.Capacity)
 		}
 	}
-	byID := func(a, b *server) int { return compare(a.ID, b.ID) }
+	byID := func(a, b *server) int { return cmp.Compare(a.ID, b.ID) }
 	slices.SortFunc(r.ready, byID)
 	slices.SortFunc(r.origins, byID)
 	for _, s := range r.ready {
@@ -258,15 +259,6 @@
 	clear(r.orders[:])
 }
 
-func compare[T uint64 | uint32 | int](a, b T) int {
-	if a < b {
-		return -1
-	} else if a > b {
-		return 1
-	}
-	return 0
-}
-
 // order gives the points of the ready caches by similarity to a slot.
 func (r *Router) order(slot uint32) []point {
 	if r.orders[slot] == nil {
@@ -278,10 +270,7 @@
 			}
 		}
 		slices.SortFunc(r.orders[slot], func(a, b point) int {
-			if a.far != b.far {
-				return compare(a.far, b.far)
-			}
-			return compare(a.on.ID, b.on.ID)
+			return cmp.Or(cmp.Compare(a.far, b.far), cmp.Compare(a.on.ID, b.on.ID))
 		})
 	}
 	return r.orders[slot]
