Give up points of a cache that is half slower than the mean, gently

A cache half slower than its types' means gives up a 64th of its points with an execution, half at most, and takes them back four times slower.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -116,6 +116,7 @@
 	Member
 	points  int // its places on the circle
 	out     []*execution
+	share   float64 // part of its points that it answers for, less where it is slower than others
 	slow    float64 // recent time of an execution over the mean of its type
 	heard   float64 // when slow last changed
 	fails   int     // failures since the last success
@@ -214,7 +215,7 @@
 			r.servers[m.ID] = s
 		}
 		if m.Mode == InService && (m.Started > s.Started || s.Mode != InService) {
-			*s = server{slow: 1, limit: s.limit, out: s.out, fresh: m.Started, filled: now, budget: 1}
+			*s = server{share: 1, slow: 1, limit: s.limit, out: s.out, fresh: m.Started, filled: now, budget: 1}
 		}
 		s.Member = m
 		seen[s] = true
@@ -284,7 +285,7 @@
 		if best != nil && p.far > far {
 			break
 		}
-		if float64(p.rank) >= math.Ceil(float64(p.on.points)*r.warmth(p.on)) || !pass(p.on) {
+		if float64(p.rank) >= math.Ceil(float64(p.on.points)*min(p.on.share, r.warmth(p.on))) || !pass(p.on) {
 			continue
 		}
 		if h := mix(hash, p.on.ID); best == nil || h < tie {
@@ -555,6 +556,11 @@
 	}
 	s.slow += (min(lag/t.lag, 4) - s.slow) / 8 // a single long one says little
 	s.heard = r.now
+	if s.slow > 1.5 {
+		s.share = max(0.5, s.share-1.0/64)
+	} else if s.slow < 1 {
+		s.share = min(1, s.share+1.0/256)
+	}
 }
 
 // further goes on with an operation after an execution that brought no answer.
