--- a/logic/logic.go
+++ b/logic/logic.go
@@ -597,7 +597,7 @@
 // expect is the time that an execution on s is expected to take. What was seen of s fades within the
 // promised time, so that a server that is shunned is not held slow for ever.
 func (r *Router) expect(op *operation, s *server) float64 {
-	return op.row.lag * (1 + (s.slow-1)*math.Exp(-(r.now-s.heard)/op.row.PromisedTime))
+	return op.row.lag * (1 + (s.slow-1)*math.Exp(-(r.now-s.heard)/op.row.PromisedTime/8))
 }
 
 // giveUp sends the final answer of an operation that will get no other, at once.
