--- a/logic/logic.go
+++ b/logic/logic.go
@@ -641,7 +641,8 @@
 	}
 }
 
-// Wake takes a timer. One named by an operation sends a second copy, if its time is worth it.
+// Wake takes a timer. One named by an operation sends a second copy, if its time is worth it and its server has
+// been silent since: a copy helps against a standstill, but only adds to a jam.
 func (r *Router) Wake(now float64, name string) {
 	r.now = now
 	switch name {
@@ -657,7 +658,7 @@
 	id, _ := strconv.ParseUint(name, 10, 64)
 	op := r.ops[id]
 	if op == nil || op.answered || len(op.executions) != 1 || r.spare < 1 ||
-		op.due-now < op.row.lag {
+		op.due-now < op.row.lag || op.executions[0].on.heard > op.executions[0].sent {
 		return
 	}
 	if s := r.choose(op); s != nil {
