Shed above the whole promised time where nothing of a router's own is out

Symptom: service low for 35 s with no entry in the list; 76% declined while the tenth of caches with the longest times times out and the price for overdriven servers shows. Cause: a jammed cache slows down further, and the one execution that each router allowed itself where it had nothing out kept the jam alive. Now: exempt only while the expected time is within the promised time.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -415,19 +415,21 @@
 // strained tells whether to shed an operation, since its server takes too long: first what is beyond a
 // tenant's share, then what brings less benefit for its time.
 func (r *Router) strained(op *operation, s *server) bool {
-	if len(s.out) == 0 || r.isOrigin(s) {
-		return false // nothing of ours is there: what was seen may be over; the origin has a bound of its own
+	if r.isOrigin(s) {
+		return false // it has a bound of its own
 	}
-	takes := r.expect(op, s)
-	takes = max(takes, r.now-max(s.heard, s.out[0].sent)) // it may stand still
-	left := op.due - r.now
+	takes, left := r.expect(op, s), op.due-r.now
 	if left <= 0 {
 		left = op.row.PromisedTime
 	}
-	// A ramp, as hope for the promised time falls; what is worth little yields early.
+	bound := left // where nothing of ours is out: a try a router must not keep a jam alive
+	if len(s.out) > 0 {
+		bound = left * (0.4 + 0.4*r.chance()) // a ramp, as hope for the promised time falls
+		takes = max(takes, r.now-max(s.heard, s.out[0].sent))
+	}
 	value := op.worth * op.row.Benefit / op.row.lag
 	r.value += (value - r.value) / 64
-	return takes > left*(0.4+0.4*r.chance())*math.Sqrt(value/r.value)
+	return takes > bound*math.Sqrt(value/r.value) // what is worth little yields early
 }
 
 // mayExecute and mayDecline guard the rules in one place.
