--- a/logic/logic.go
+++ b/logic/logic.go
@@ -423,9 +423,11 @@
 		left = op.row.PromisedTime
 	}
 	bound := left // where nothing of ours is out: a try a router must not keep a jam alive
-	if len(s.out) > 0 {
+	if len(s.out) > 0 || s.fails > 0 {
 		bound = left * (0.4 + 0.4*r.chance()) // a ramp, as hope for the promised time falls
-		takes = max(takes, r.now-max(s.heard, s.out[0].sent))
+	}
+	if len(s.out) > 0 {
+		takes = max(takes, r.now-max(s.heard, s.out[0].sent)) // it may stand still
 	}
 	value := op.worth * op.row.Benefit / op.row.lag
 	r.value += (value - r.value) / 64
