Send a second copy's miss on to the origin, and doubt no refused connection

Tidied: one loop for withdrawing, one for choosing past the sick and the crowded, zero settings made harmless.

--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -176,9 +176,9 @@
 		}
 	case "SETTLED":
 		id, n, reason, lag := m.id("txn"), int(m.count("n")), outcomes[m.text("reason")], m.seconds("lag")
-		final, detail := m.flag("final"), int(m.count("detail"))
+		final := m.flag("final")
 		if m.err == nil {
-			i.router.Settled(now, id, n, reason, lag, final, detail)
+			i.router.Settled(now, id, n, reason, lag, final)
 		}
 	case "GONE":
 		if id := m.id("txn"); m.err == nil {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -83,7 +83,7 @@
 	host    Host
 	set     Settings
 	now     float64
-	draws   uint64
+	draws   uint64 // numbers drawn by chance
 	rows    map[string]*row
 	tenants map[string]*tenant
 	servers map[uint64]*server // every server that a list has named
@@ -162,6 +162,9 @@
 	r := &Router{host: host, set: set, now: now, rows: map[string]*row{}, tenants: map[string]*tenant{},
 		servers: map[uint64]*server{}, ops: map[uint64]*operation{}, flowAt: now}
 	for _, t := range set.TrafficTypes {
+		if t.PromisedTime <= 0 { // nothing promised: the hard stop is all there is
+			t.PromisedTime = max(t.HardStop, set.Step, 1e-3)
+		}
 		// Until seen, an execution is expected to take a quarter of the promised time: most sites promise
 		// several times the mean work.
 		r.rows[t.Name] = &row{TrafficType: t, lag: t.PromisedTime / 4, spread: t.PromisedTime / 8}
@@ -322,7 +325,7 @@
 	if w >= 1 || r.set.Fall <= 0 {
 		return false
 	}
-	mean := r.flow * math.Exp(-(r.now-r.flowAt)/r.set.WarmWithin) / float64(max(1, len(r.ready)))
+	mean := r.finishing() / float64(max(1, len(r.ready)))
 	// Unseen capacity counts for one execution in the rule's time.
 	rate := r.set.TipMultiple * max(w*mean/2, 1/r.set.Fall/float64(max(1, r.set.Routers)))
 	s.budget = min(s.budget+rate*(r.now-s.filled), max(1, rate*r.set.Fall/4))
@@ -330,13 +333,19 @@
 	return s.budget < 1
 }
 
+// finishing is how many executions the caches finish a second, over about a warm-up's time.
+func (r *Router) finishing() float64 {
+	return r.flow * math.Exp(-(r.now-r.flowAt)/max(1, r.set.WarmWithin))
+}
+
 // sick tells whether a cache is passed over for its failures. After the wait it is tried by one execution
 // at a time until one succeeds.
 func (r *Router) sick(s *server) bool {
 	return s.fails >= 3 && (r.now < s.until || len(s.out) > 0)
 }
 
-// choose picks the cache for an operation's next execution, or none.
+// choose picks the cache for an operation's next execution, or none: past what is sick or crowded, else past
+// what is sick, else any that the rules allow.
 func (r *Router) choose(op *operation) *server {
 	sick := 0
 	for _, s := range r.ready {
@@ -344,17 +353,18 @@
 			sick++
 		}
 	}
-	// When half or more look bad the doubt falls on the view: the least bad serve on.
+	// When half or more look bad the doubt falls on the view, but for those that refuse connections.
 	doubt := 2*sick >= len(r.ready)
-	tried := func(s *server) bool {
-		return slices.ContainsFunc(op.executions, func(e *execution) bool { return e.on == s })
+	may := func(s *server) bool {
+		return !op.any(func(e *execution) bool { return e.on == s }) && r.mayExecute(op, s) && !r.tips(s)
 	}
-	can := func(s *server) bool { return !tried(s) && r.mayExecute(op, s) && !r.tips(s) }
-	s := r.nearest(op.hash, func(s *server) bool { return can(s) && (doubt || !r.sick(s)) && !r.crowded(s) })
-	if s == nil {
-		s = r.nearest(op.hash, can)
+	well := func(s *server) bool { return may(s) && (!r.sick(s) || doubt && !s.down) }
+	for _, pass := range []func(*server) bool{func(s *server) bool { return well(s) && !r.crowded(s) }, well, may} {
+		if s := r.nearest(op.hash, pass); s != nil {
+			return s
+		}
 	}
-	return s
+	return nil
 }
 
 // Operations.
@@ -363,8 +373,9 @@
 func (r *Router) Arrived(now float64, id uint64, kind, realm, key string, write bool, left float64) {
 	r.now = now
 	t := r.rows[kind]
-	if t == nil { // a type that the settings lack: taken at its word that time is left, and never repeated
-		t = &row{TrafficType: TrafficType{Name: kind, PromisedTime: left, HardStop: left}, lag: left / 4}
+	if t == nil { // a type that the settings lack: it may take what time it brought, and never runs twice
+		left := max(left, r.set.Step, 1e-3)
+		t = &row{TrafficType: TrafficType{PromisedTime: left, HardStop: left}, lag: left / 4}
 		r.rows[kind] = t
 	}
 	hash := stir(crc32.ChecksumIEEE([]byte(key)))
@@ -376,7 +387,7 @@
 		hardStop: now + left - r.set.Step}
 	if b := r.tenants[realm]; b != nil {
 		// Routers may be down or draw unlike traffic: the share is of what this one finishes, if that is more.
-		rate := max(b.rate, b.part*r.flow*math.Exp(-(now-r.flowAt)/max(r.set.WarmWithin, 1)))
+		rate := max(b.rate, b.part*r.finishing())
 		b.tokens = min(b.tokens+rate*(now-b.at), max(1, rate))
 		b.at = now
 		if b.tokens--; b.tokens < 0 {
@@ -434,6 +445,13 @@
 	return takes > bound*math.Sqrt(value/r.value) // what is worth little yields early
 }
 
+// any tells whether one of an operation's executions is like that.
+func (op *operation) any(like func(*execution) bool) bool {
+	return slices.ContainsFunc(op.executions, like)
+}
+
+func (e *execution) isOut() bool { return e.out }
+
 // mayExecute and mayDecline guard the rules in one place.
 func (r *Router) mayExecute(op *operation, s *server) bool {
 	if op.answered || op.began || r.now >= op.hardStop || s.Mode != InService ||
@@ -458,7 +476,7 @@
 	if op.row.Effect == Reissuable || op.row.Effect == Numbered && op.row.Group == All {
 		return true
 	}
-	return !slices.ContainsFunc(op.executions, func(e *execution) bool { return !e.harmless })
+	return !op.any(func(e *execution) bool { return !e.harmless })
 }
 
 func (r *Router) execute(op *operation, s *server) {
@@ -493,15 +511,11 @@
 		return
 	}
 	op.began = true
-	for _, e := range op.executions {
-		if e.out && e.n != n && r.set.Cancelling {
-			r.host.Withdraw(id, e.n)
-		}
-	}
+	r.withdraw(op, n)
 }
 
 // Settled takes the end of an execution.
-func (r *Router) Settled(now float64, id uint64, n int, how Outcome, lag float64, final bool, detail int) {
+func (r *Router) Settled(now float64, id uint64, n int, how Outcome, lag float64, final bool) {
 	r.now = now
 	op := r.ops[id]
 	if op == nil || n < 0 || n >= len(op.executions) || !op.executions[n].out {
@@ -514,7 +528,7 @@
 	r.learn(e, how, lag)
 	if final {
 		op.answered = true
-		r.withdraw(op)
+		r.withdraw(op, -1)
 	}
 	if !op.answered {
 		r.further(op, e, how)
@@ -531,9 +545,8 @@
 			s.fresh, s.filled, s.budget = r.now, r.now, 1
 		}
 		s.fails, s.down = 0, false
-		if r.set.WarmWithin > 0 && !r.isOrigin(s) {
-			r.flow = r.flow*math.Exp(-(r.now-r.flowAt)/r.set.WarmWithin) + 1/r.set.WarmWithin
-			r.flowAt = r.now
+		if !r.isOrigin(s) {
+			r.flow, r.flowAt = r.finishing()+1/max(1, r.set.WarmWithin), r.now
 		}
 	case Error, TurnedAway, NoConnection, ConnectionLost, NoAnswer, Unknown:
 		if how == NoAnswer && lag < t.lag {
@@ -551,12 +564,12 @@
 	if r.isOrigin(s) {
 		r.bear(s, how, lag, t)
 	}
-	if how == NotStored || t.lag <= 0 || r.isOrigin(s) && !e.of.write {
+	if how == NotStored || r.isOrigin(s) && !e.of.write {
 		return // neither a miss nor a read at the origin tells of the usual path
 	}
 	if how == Finished {
 		t.spread += (math.Abs(lag-t.lag) - t.spread) / 16
-		t.lag += (lag - t.lag) / 16
+		t.lag = max(t.lag+(lag-t.lag)/16, 1e-6)
 	}
 	s.slow += (min(lag/t.lag, 4) - s.slow) / 8 // a single long one says little
 	s.heard = r.now
@@ -567,35 +580,28 @@
 	}
 }
 
-// further goes on with an operation after an execution that brought no answer.
+// further goes on with an operation after an execution that brought no answer: a miss at the origin, else at
+// the next server, if the time left exceeds the expected time.
 func (r *Router) further(op *operation, e *execution, how Outcome) {
-	if slices.ContainsFunc(op.executions, func(x *execution) bool { return x.out }) {
+	missed := how == NotStored && !r.isOrigin(e.on)
+	if op.any((*execution).isOut) && !missed {
 		return
 	}
-	if how == NotStored && !r.isOrigin(e.on) {
-		if s := r.origin(op); s != nil && op.hardStop-r.now > r.expect(op, s) {
-			r.execute(op, s)
-			return
-		}
-		r.giveUp(op)
-		return
+	var s *server
+	if missed || r.isOrigin(e.on) {
+		s = r.origin(op)
+	} else {
+		s = r.choose(op)
 	}
-	if op.hardStop-r.now > op.row.lag && (e.harmless || r.spare >= 1) {
-		var s *server
-		if r.isOrigin(e.on) {
-			s = r.origin(op)
-		} else {
-			s = r.choose(op)
-		}
-		if s != nil && r.mayExecute(op, s) {
-			if !e.harmless {
-				r.spare--
-			}
-			r.execute(op, s)
-			return
+	switch {
+	case s != nil && op.hardStop-r.now > r.expect(op, s) && (e.harmless || r.spare >= 1):
+		if !e.harmless {
+			r.spare--
 		}
+		r.execute(op, s)
+	case !op.any((*execution).isOut):
+		r.giveUp(op)
 	}
-	r.giveUp(op)
 }
 
 // expect is the time that an execution on s is expected to take. What was seen of s fades within the
@@ -607,7 +613,7 @@
 // giveUp sends the final answer of an operation that will get no other, at once.
 func (r *Router) giveUp(op *operation) {
 	op.answered = true
-	r.withdraw(op)
+	r.withdraw(op, -1)
 	if r.mayDecline(op) {
 		pause := 0.0
 		if r.set.RetryAfter {
@@ -620,9 +626,10 @@
 	r.forget(op)
 }
 
-func (r *Router) withdraw(op *operation) {
+// withdraw stops an operation's executions, but for the one numbered keep.
+func (r *Router) withdraw(op *operation, keep int) {
 	for _, e := range op.executions {
-		if e.out && r.set.Cancelling && !op.began {
+		if e.out && e.n != keep && r.set.Cancelling {
 			r.host.Withdraw(op.id, e.n)
 		}
 	}
@@ -630,7 +637,7 @@
 
 // forget drops an operation that is answered and has nothing out.
 func (r *Router) forget(op *operation) {
-	if op.answered && !slices.ContainsFunc(op.executions, func(e *execution) bool { return e.out }) {
+	if op.answered && !op.any((*execution).isOut) {
 		delete(r.ops, op.id)
 	}
 }
@@ -640,7 +647,7 @@
 	r.now = now
 	if op := r.ops[id]; op != nil {
 		op.answered = true
-		r.withdraw(op)
+		r.withdraw(op, -1)
 		r.forget(op)
 	}
 }
