--- a/logic/logic.go
+++ b/logic/logic.go
@@ -102,9 +102,9 @@
 // row is the table of what differs by traffic type.
 type row struct {
 	TrafficType
-	usual       float64 // the time that clients leave for a first try
-	votes       int     // for usual, less those against
-	lag, spread float64 // a finished execution's time and its mean deviation, as seen
+	usual float64 // the time that clients leave for a first try
+	votes int     // for usual, less those against
+	lag   float64 // a finished execution's mean time, as seen
 }
 
 type tenant struct {
@@ -167,7 +167,7 @@
 		}
 		// Until seen, an execution is expected to take a quarter of the promised time: most sites promise
 		// several times the mean work.
-		r.rows[t.Name] = &row{TrafficType: t, lag: t.PromisedTime / 4, spread: t.PromisedTime / 8}
+		r.rows[t.Name] = &row{TrafficType: t, lag: t.PromisedTime / 4}
 	}
 	quotas := 0.0
 	for _, t := range set.Tenants {
@@ -488,16 +488,15 @@
 	s.out = append(s.out, e)
 	s.budget--
 	limit := op.hardStop - r.now
-	// Waited for so long that one more execution still fits into the promised time.
-	patience := max(op.row.lag+4*op.row.spread, op.row.PromisedTime/4)
-	patience = min(patience, op.due-op.row.lag-r.now)
-	if patience > op.row.lag && op.row.Effect == Reissuable && !r.isOrigin(s) {
+	// The last moment at which one more execution fits into the promised time.
+	latest := op.due - op.row.lag - r.now
+	if latest > op.row.lag && op.row.Effect == Reissuable && !r.isOrigin(s) {
 		if r.set.SecondCopies {
-			r.host.SetTimer(patience, strconv.FormatUint(op.id, 10))
+			r.host.SetTimer(latest, strconv.FormatUint(op.id, 10))
 		} else if s.fails > 0 && r.spare >= 1 {
 			// Where work cannot be doubled, it is cut off only on a server that just failed: a cut stops no
 			// work there, and where all are slow another execution would fare no better.
-			limit = min(limit, op.due-op.row.lag-r.now)
+			limit = min(limit, latest)
 		}
 	}
 	r.host.Execute(op.id, s.ID, limit)
@@ -568,7 +567,6 @@
 		return // neither a miss nor a read at the origin tells of the usual path
 	}
 	if how == Finished {
-		t.spread += (math.Abs(lag-t.lag) - t.spread) / 16
 		t.lag = max(t.lag+(lag-t.lag)/16, 1e-6)
 	}
 	s.slow += (min(lag/t.lag, 4) - s.slow) / 8 // a single long one says little
