--- a/logic/logic.go
+++ b/logic/logic.go
@@ -80,23 +80,21 @@
 
 // Router is one instance of the module.
 type Router struct {
-	host    Host
-	set     Settings
-	now     float64
-	draws   uint64 // numbers drawn by chance
-	rows    map[string]*row
-	tenants map[string]*tenant
-	servers map[uint64]*server // every server that a list has named
-	ready   []*server          // the caches in service, by id
-	origins []*server          // the origin's servers in service, by id
-	orders  [slots][]point     // a slot's points by similarity, kept until membership changes
-	ops     map[uint64]*operation
-	spare   float64 // further executions that may still be made
-	flow    float64 // executions finished a second, lately
-	flowAt  float64
-	value   float64 // benefit for a second's execution, the mean of what was judged lately
-	asked   float64 // when the list was last asked for; 0: nothing is owed
-	wait    float64 // before the list is asked for again after an error
+	host         Host
+	set          Settings
+	now          float64
+	draws        uint64 // numbers drawn by chance
+	rows         map[string]*row
+	tenants      map[string]*tenant
+	servers      map[uint64]*server // every server that a list has named
+	ready        []*server          // the caches in service, by id
+	origins      []*server          // the origin's servers in service, by id
+	orders       [slots][]point     // a slot's points by similarity, kept until membership changes
+	ops          map[uint64]*operation
+	spare        float64 // further executions that may still be made
+	flow, flowAt float64 // executions that caches finished a second, and when that was reckoned
+	value        float64 // benefit for a second's execution, the mean of what was judged lately
+	asked, wait  float64 // when the list was last asked for, 0 if answered; the wait after an error
 }
 
 // row is the table of what differs by traffic type.
@@ -114,47 +112,40 @@
 // server is all that is known of one cache server, or of one server of the origin.
 type server struct {
 	Member
-	points  int // its places on the circle
-	out     []*execution
-	share   float64 // part of its points that it answers for, less where it is slower than others
-	slow    float64 // recent time of an execution over the mean of its type
-	heard   float64 // when slow last changed
-	fails   int     // failures since the last success
-	until   float64 // passed over until then, after failures
-	down    bool    // refused connections since it last answered
-	fresh   float64 // when it is taken to have started; 0: long ago
-	budget  float64 // executions that may be sent to it while it is cold
-	filled  float64 // when budget was last filled
-	limit   float64 // origin: executions it may hold of this router
-	lowered float64 // origin: when limit was last lowered
+	points         int // its places on the circle
+	out            []*execution
+	share          float64 // part of its points that it answers for, less where it is slower than others
+	slow, heard    float64 // recent time of an execution over the mean of its type, and when that changed
+	fails          int     // failures since the last success
+	until          float64 // passed over until then, after failures
+	down           bool    // refused connections since it last answered
+	fresh          float64 // when it is taken to have started; 0: long ago
+	budget, filled float64 // executions that may be sent to it while it is cold, and when that was filled
+	limit, lowered float64 // origin: executions it may hold of this router, and when that was lowered
 }
 
 type point struct {
-	on   *server
-	rank int // the place's number among its server's
-	far  int // Hamming distance to the slot
+	on        *server
+	rank, far int // the place's number among its server's; Hamming distance to the slot
 }
 
 type operation struct {
-	id         uint64
-	row        *row
-	hash       uint32
-	write      bool
-	worth      float64 // part of its benefit that an answer may still bring
-	began      bool    // its stream has begun
-	answered   bool
-	due        float64 // the end of its promised time
-	hardStop   float64
-	executions []*execution
+	id              uint64
+	row             *row
+	hash            uint32
+	write           bool
+	worth           float64 // part of its benefit that an answer may still bring
+	began, answered bool    // its stream has begun; its final answer is out
+	due, hardStop   float64 // the ends of its promised time and of its client's patience
+	executions      []*execution
 }
 
 type execution struct {
-	of       *operation
-	on       *server
-	n        int
-	sent     float64
-	out      bool
-	harmless bool // it is proved that it never ran
+	of            *operation
+	on            *server
+	n             int
+	sent          float64
+	out, harmless bool // not settled; proved never to have run
 }
 
 // New starts an instance.
@@ -344,9 +335,12 @@
 	return s.fails >= 3 && (r.now < s.until || len(s.out) > 0)
 }
 
-// choose picks the cache for an operation's next execution, or none: past what is sick or crowded, else past
-// what is sick, else any that the rules allow.
-func (r *Router) choose(op *operation) *server {
+// choose picks the server for an operation's next execution, or none: the origin, or a cache past what is sick
+// or crowded, else past what is sick, else any that the rules allow.
+func (r *Router) choose(op *operation, origin bool) *server {
+	if origin {
+		return r.origin(op)
+	}
 	sick := 0
 	for _, s := range r.ready {
 		if r.sick(s) {
@@ -397,30 +391,20 @@
 	// A client gives all its tries the hard stop together. Most, the first tries, come with the same time left,
 	// found by majority vote; on any other the rest of the hard stop is spent. What can no longer be in time
 	// must not crowd out what can.
-	switch same := math.Abs(left-t.usual) <= 2*r.set.Step; {
-	case same:
+	if math.Abs(left-t.usual) <= 2*r.set.Step {
 		t.votes++
-	case t.votes == 0:
+	} else if t.votes--; t.votes < 0 {
 		t.usual, t.votes = left, 1
-	default:
-		t.votes--
-		if op.due = now + left - t.HardStop + t.PromisedTime; op.due <= now {
-			op.worth *= t.OverdueBenefit
-		}
+	} else if op.due = now + left - t.HardStop + t.PromisedTime; op.due <= now {
+		op.worth *= t.OverdueBenefit
 	}
 	r.ops[id] = op
 	r.spare = min(r.spare+0.1, 10) // a tenth more executions than operations at most: no storm of repeats
-	var s *server
-	if r.set.Aside && write {
-		s = r.origin(op)
+	if s := r.choose(op, r.set.Aside && write); s != nil && !r.strained(op, s) {
+		r.execute(op, s)
 	} else {
-		s = r.choose(op)
-	}
-	if s == nil || r.strained(op, s) {
 		r.giveUp(op)
-		return
 	}
-	r.execute(op, s)
 }
 
 // strained tells whether to shed an operation, since its server takes too long: first what is beyond a
@@ -585,12 +569,7 @@
 	if op.any((*execution).isOut) && !missed {
 		return
 	}
-	var s *server
-	if missed || r.isOrigin(e.on) {
-		s = r.origin(op)
-	} else {
-		s = r.choose(op)
-	}
+	s := r.choose(op, missed || r.isOrigin(e.on))
 	switch {
 	case s != nil && op.hardStop-r.now > r.expect(op, s) && (e.harmless || r.spare >= 1):
 		if !e.harmless {
@@ -654,25 +633,21 @@
 // been silent since: a copy helps against a standstill, but only adds to a jam.
 func (r *Router) Wake(now float64, name string) {
 	r.now = now
-	switch name {
-	case "watch":
-		if r.asked > 0 && now-r.asked >= max(1, r.set.AskWithin/2)-r.set.Step {
-			r.watch()
-		}
-		return
-	case "rewatch":
+	overdue := name == "watch" && r.asked > 0 && now-r.asked >= max(1, r.set.AskWithin/2)-r.set.Step
+	if overdue || name == "rewatch" {
 		r.watch()
 		return
 	}
 	id, _ := strconv.ParseUint(name, 10, 64)
 	op := r.ops[id]
-	if op == nil || op.answered || len(op.executions) != 1 || r.spare < 1 ||
-		op.due-now < op.row.lag || op.executions[0].on.heard > op.executions[0].sent {
+	if op == nil || op.answered || len(op.executions) != 1 || r.spare < 1 || op.due-now < op.row.lag {
 		return
 	}
-	if s := r.choose(op); s != nil {
-		r.spare--
-		r.execute(op, s)
+	if first := op.executions[0]; first.on.heard <= first.sent {
+		if s := r.choose(op, false); s != nil {
+			r.spare--
+			r.execute(op, s)
+		}
 	}
 }
 
