--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -166,7 +166,8 @@
 		StartCapacity:  rules.number("startCapacity"),
 		WarmWithin:     rules.seconds("warmWithin"),
 	}
-	if at, names := int(family.number("originKind")), n.v.GetArray("kinds"); set.Aside && at >= 0 && at < len(names) {
+	at, names := int(family.number("originKind")), n.v.GetArray("kinds")
+	if set.Aside && at >= 0 && at < len(names) {
 		set.OriginKind = string(names[at].GetStringBytes())
 	}
 	for _, t := range n.list("trafficTypes") {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -48,10 +48,14 @@
 	router *logic.Router
 }
 
+func newSession(out io.Writer) *session {
+	return &session{out: bufio.NewWriterSize(out, 1<<16), instances: map[uint64]*instance{},
+		sheets: map[uint64][]logic.Member{}}
+}
+
 // Serve answers batches until the input ends. It returns nil when the input ends between two batches.
 func Serve(in io.Reader, out io.Writer) error {
-	s := &session{out: bufio.NewWriterSize(out, 1<<16), instances: map[uint64]*instance{},
-		sheets: map[uint64][]logic.Member{}}
+	s := newSession(out)
 	lines := bufio.NewReaderSize(in, 1<<16)
 	var parser fastjson.Parser
 	var text []byte
--- /dev/null
+++ b/logic/helpers_test.go
@@ -0,0 +1,66 @@
+package logic
+
+import (
+	"fmt"
+	"testing"
+)
+
+// notes is a host that writes down what the module does.
+type notes struct{ did []string }
+
+func (n *notes) Execute(op, s uint64, limit float64) { n.add("execute %d on %d", op, s) }
+func (n *notes) Withdraw(op uint64, at int)          { n.add("withdraw %d/%d", op, at) }
+func (n *notes) Decline(op uint64, after float64)    { n.add("decline %d after %t", op, after > 0) }
+func (n *notes) Terminate(op uint64)                 { n.add("terminate %d", op) }
+func (n *notes) SetTimer(delay float64, name string) {}
+func (n *notes) Watch(on bool)                       { n.add("watch %t", on) }
+
+func (n *notes) add(format string, args ...any) { n.did = append(n.did, fmt.Sprintf(format, args...)) }
+
+// last is the latest action, or nothing.
+func (n *notes) last() string {
+	if len(n.did) == 0 {
+		return ""
+	}
+	return n.did[len(n.did)-1]
+}
+
+// fleet starts a router with caches 1 to n, long started, and an origin 99 where the router asks it.
+func fleet(n int, change func(*Settings)) (*Router, *notes) {
+	set := Settings{Routers: 2, Step: 0.001, MostExecutions: 3, SecondCopies: true, Cancelling: true,
+		RetryAfter: true, MaxRetryAfter: 1, Fall: 3, TipMultiple: 4, StartCapacity: 0.25, WarmWithin: 20,
+		OverBenefit: 0.05, OriginKind: "origin", TrafficTypes: []TrafficType{
+			{Name: "view", Effect: Reissuable, PromisedTime: 0.4, HardStop: 2, Benefit: 1},
+			{Name: "amend", Effect: Numbered, Group: Zone, Window: 1, PromisedTime: 0.4, HardStop: 2, Benefit: 1},
+			{Name: "pay", PromisedTime: 0.4, HardStop: 2, Benefit: 1}}}
+	if change != nil {
+		change(&set)
+	}
+	n0 := &notes{}
+	r := New(0, set, n0)
+	members := []Member{{ID: 99, Mode: InService, Kind: "origin"}}
+	if !set.Aside {
+		members = nil
+	}
+	for i := range n {
+		members = append(members, Member{ID: uint64(i + 1), Mode: InService, Capacity: 1, Zone: "a"})
+	}
+	r.Listed(0, Snapshot, members)
+	n0.did = nil
+	return r, n0
+}
+
+// begun is an operation with one execution on s, settled as harmless or not, or still out.
+func begun(r *Router, kind string, s *server, out, harmless bool) *operation {
+	op := &operation{id: 7, row: r.rows[kind], worth: 1, due: r.now + 0.4, hardStop: r.now + 2}
+	op.executions = []*execution{{of: op, on: s, sent: r.now, out: out, harmless: harmless}}
+	r.ops[7] = op
+	return op
+}
+
+func expect(t *testing.T, what string, got, want any) {
+	t.Helper()
+	if got != want {
+		t.Errorf("%s: got %v, want %v", what, got, want)
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -304,8 +304,7 @@
 	if s.fresh == 0 || r.set.WarmWithin <= 0 || r.now-s.fresh >= r.set.WarmWithin {
 		return 1
 	}
-	from := min(max(r.set.StartCapacity, 0), 1)
-	return from + (1-from)*max(0, r.now-s.fresh)/r.set.WarmWithin
+	return 1 - (1-min(max(r.set.StartCapacity, 0), 1))*(1-max(0, r.now-s.fresh)/r.set.WarmWithin)
 }
 
 // tips guards the fourth rule: a cold cache gets a budget that fills with half of what the rule allows a
@@ -335,8 +334,8 @@
 	return s.fails >= 3 && (r.now < s.until || len(s.out) > 0)
 }
 
-// choose picks the server for an operation's next execution, or none: the origin, or a cache past what is sick
-// or crowded, else past what is sick, else any that the rules allow.
+// choose picks the server for an operation's next execution, or none: the origin, or a cache past what is
+// sick or crowded, else past what is sick, else any that the rules allow.
 func (r *Router) choose(op *operation, origin bool) *server {
 	if origin {
 		return r.origin(op)
@@ -353,7 +352,8 @@
 		return !op.any(func(e *execution) bool { return e.on == s }) && r.mayExecute(op, s) && !r.tips(s)
 	}
 	well := func(s *server) bool { return may(s) && (!r.sick(s) || doubt && !s.down) }
-	for _, pass := range []func(*server) bool{func(s *server) bool { return well(s) && !r.crowded(s) }, well, may} {
+	best := func(s *server) bool { return well(s) && !r.crowded(s) }
+	for _, pass := range []func(*server) bool{best, well, may} {
 		if s := r.nearest(op.hash, pass); s != nil {
 			return s
 		}
@@ -629,8 +629,8 @@
 	}
 }
 
-// Wake takes a timer. One named by an operation sends a second copy, if its time is worth it and its server has
-// been silent since: a copy helps against a standstill, but only adds to a jam.
+// Wake takes a timer. One named by an operation sends a second copy, if its time is worth it and its server
+// has been silent since: a copy helps against a standstill, but only adds to a jam.
 func (r *Router) Wake(now float64, name string) {
 	r.now = now
 	overdue := name == "watch" && r.asked > 0 && now-r.asked >= max(1, r.set.AskWithin/2)-r.set.Step
--- /dev/null
+++ b/logic/logic_test.go
@@ -0,0 +1,379 @@
+package logic
+
+import (
+	"fmt"
+	"math"
+	"testing"
+)
+
+func TestNeighbouringSlotsAreAlikeAndSimilarityFalls(t *testing.T) {
+	circle := table()
+	expect(t, "neighbours", distance(&circle[10], &circle[11]), flips)
+	last := 0
+	for _, steps := range []int{64, 256, 1024, 2047} {
+		far := distance(&circle[10], &circle[10+steps])
+		if far <= last {
+			t.Errorf("%d steps are %d bits apart, no more than fewer steps", steps, far)
+		}
+		last = far
+	}
+}
+
+func TestCircleCloses(t *testing.T) {
+	circle := table()
+	expect(t, "last slot from the first", distance(&circle[slots-1], &circle[0]), 0)
+	near, far := distance(&circle[slots-100], &circle[0]), distance(&circle[slots-1000], &circle[0])
+	if near >= far {
+		t.Errorf("100 slots back are %d bits apart, 1000 are %d", near, far)
+	}
+}
+
+func TestEveryRouterPicksAlike(t *testing.T) {
+	a, _ := fleet(5, func(s *Settings) { s.Seed = 1 })
+	b, _ := fleet(5, func(s *Settings) { s.Seed = 2 })
+	all := func(*server) bool { return true }
+	for key := range uint32(500) {
+		h := stir(key)
+		expect(t, fmt.Sprint("pick of key ", key), a.nearest(h, all).ID, b.nearest(h, all).ID)
+	}
+}
+
+func TestLossMovesOnlyTheLostCachesKeys(t *testing.T) {
+	r, _ := fleet(5, nil)
+	all := func(*server) bool { return true }
+	before := map[uint32]uint64{}
+	for key := range uint32(500) {
+		before[key] = r.nearest(stir(key), all).ID
+	}
+	r.Listed(1, Diff, []Member{{ID: 3, Mode: Draining, Capacity: 1}})
+	for key, was := range before {
+		now := r.nearest(stir(key), all).ID
+		if was != 3 && now != was || now == 3 {
+			t.Errorf("key %d moved from %d to %d", key, was, now)
+		}
+	}
+}
+
+func TestTiesGoByHashOfKeyAndServer(t *testing.T) {
+	r, _ := fleet(2, nil)
+	a, b := r.servers[1], r.servers[2]
+	picked := map[uint64]bool{}
+	for i := range uint32(64) {
+		h := 5 + i*slots
+		r.orders[5] = []point{{a, 0, 9}, {b, 0, 9}}
+		picked[r.nearest(h, func(*server) bool { return true }).ID] = true
+	}
+	expect(t, "servers picked among equals", len(picked), 2)
+}
+
+func TestPassOverActsAboveTwiceTheMeanAndAtTwo(t *testing.T) {
+	for _, c := range []struct {
+		mine, others int
+		want         bool
+	}{{1, 0, false}, {2, 0, true}, {2, 2, false}, {4, 4, false}, {5, 4, true}} {
+		r, _ := fleet(4, nil)
+		r.ready[0].out = make([]*execution, c.mine)
+		r.ready[1].out = make([]*execution, c.others)
+		expect(t, fmt.Sprint("crowded with ", c.mine, " and ", c.others), r.crowded(r.ready[0]), c.want)
+	}
+}
+
+func TestExecutionRules(t *testing.T) {
+	for _, c := range []struct {
+		kind          string
+		out, harmless bool
+		after         float64
+		zone          string
+		want          bool
+	}{
+		{"view", false, false, 0, "b", true}, {"view", true, false, 0, "b", true},
+		{"pay", false, true, 0, "b", true}, {"pay", false, false, 0, "a", false},
+		{"pay", true, false, 0, "a", false},
+		{"amend", false, true, 1.5, "b", true}, {"amend", false, false, 0.5, "a", true},
+		{"amend", false, false, 1.5, "a", false}, {"amend", false, false, 0.5, "b", false},
+		{"view", false, false, 2, "a", false},
+	} {
+		r, _ := fleet(2, nil)
+		op := begun(r, c.kind, r.servers[1], c.out, c.harmless)
+		r.servers[2].Zone = c.zone
+		r.now = c.after
+		expect(t, fmt.Sprintf("%+v", c), r.mayExecute(op, r.servers[2]), c.want)
+	}
+}
+
+func TestNoTwoAtOnceWhereCopiesAreBarred(t *testing.T) {
+	r, _ := fleet(2, func(s *Settings) { s.SecondCopies = false })
+	op := begun(r, "view", r.servers[1], true, false)
+	expect(t, "second copy", r.mayExecute(op, r.servers[2]), false)
+}
+
+func TestNothingNewToADrainingServer(t *testing.T) {
+	r, _ := fleet(2, nil)
+	r.servers[2].Mode = Draining
+	expect(t, "execution", r.mayExecute(begun(r, "view", r.servers[1], false, true), r.servers[2]), false)
+}
+
+func TestDeclineRules(t *testing.T) {
+	for _, c := range []struct {
+		kind     string
+		harmless bool
+		group    Group
+		want     bool
+	}{{"view", false, Cell, true}, {"pay", true, Cell, true}, {"pay", false, Cell, false},
+		{"amend", false, Zone, false}, {"amend", true, Zone, true}, {"amend", false, All, true}} {
+		r, _ := fleet(1, nil)
+		op := begun(r, c.kind, r.servers[1], false, c.harmless)
+		op.row.Group = c.group
+		expect(t, fmt.Sprintf("%+v", c), r.mayDecline(op), c.want)
+	}
+}
+
+func TestGivingUpAnswersAtOnce(t *testing.T) {
+	for kind, want := range map[string]string{"view": "decline 7 after true", "pay": "terminate 7"} {
+		r, did := fleet(1, nil)
+		r.giveUp(begun(r, kind, r.servers[1], false, false))
+		expect(t, kind, did.last(), want)
+		expect(t, "operations kept", len(r.ops), 0)
+	}
+}
+
+func TestEmptyListDeclinesAtOnce(t *testing.T) {
+	r, did := fleet(0, nil)
+	r.Arrived(1, 5, "view", "", "k", false, 1)
+	expect(t, "answer", did.last(), "decline 5 after true")
+}
+
+func TestMissGoesToTheOrigin(t *testing.T) {
+	r, did := fleet(2, func(s *Settings) { s.Aside = true })
+	begun(r, "view", r.servers[1], true, false)
+	r.Settled(0.01, 7, 0, NotStored, 0.01, false)
+	expect(t, "action", did.last(), "execute 7 on 99")
+}
+
+func TestWriteGoesStraightToTheOrigin(t *testing.T) {
+	r, did := fleet(2, func(s *Settings) { s.Aside = true })
+	r.Arrived(1, 5, "pay", "", "k", true, 1)
+	expect(t, "action", did.last(), "execute 5 on 99")
+}
+
+func TestOriginBoundGoesByWorth(t *testing.T) {
+	r, _ := fleet(1, func(s *Settings) { s.Aside = true })
+	op := begun(r, "view", r.servers[1], false, true)
+	r.servers[99].out = make([]*execution, 2)
+	expect(t, "within its share", r.origin(op) != nil, true)
+	op.worth = 0.05
+	expect(t, "beyond its share", r.origin(op) != nil, false)
+}
+
+func TestOriginBoundFollowsWhatItBears(t *testing.T) {
+	r, _ := fleet(1, func(s *Settings) { s.Aside = true })
+	o := r.servers[99]
+	o.out = make([]*execution, 3)
+	r.bear(o, Finished, 0.01, r.rows["view"])
+	expect(t, "after an answer", o.limit, 4.25)
+	r.now = 1
+	r.bear(o, TurnedAway, 0.01, r.rows["view"])
+	expect(t, "after a refusal", math.Round(o.limit*100), 283.0)
+}
+
+func TestLateNewsOfAnEndedOperation(t *testing.T) {
+	r, did := fleet(1, nil)
+	op := begun(r, "view", r.servers[1], true, false)
+	op.answered = true
+	r.servers[1].out = []*execution{op.executions[0]}
+	r.Settled(0.01, 7, 0, Finished, 0.01, true)
+	r.Settled(0.02, 7, 0, Finished, 0.01, true)
+	r.Left(0.03, 7)
+	r.Wake(0.04, "7")
+	r.Wake(0.04, "no such name")
+	expect(t, "actions", len(did.did), 0)
+	expect(t, "held by the server", len(r.servers[1].out), 0)
+}
+
+func TestSilentServerGetsACopyAndABusyOneNone(t *testing.T) {
+	for heard, want := range map[float64]string{0: "execute 7 on 2", 0.1: ""} {
+		r, did := fleet(2, nil)
+		op := begun(r, "view", r.servers[1], true, false)
+		op.executions[0].sent = 0.05
+		r.servers[1].heard, r.spare = heard, 5
+		r.Wake(0.2, "7")
+		expect(t, "action", did.last(), want)
+	}
+}
+
+func TestNoFurtherExecutionWithoutTime(t *testing.T) {
+	r, did := fleet(2, nil)
+	op := begun(r, "view", r.servers[1], false, true)
+	op.hardStop = r.now + r.rows["view"].lag/2
+	r.further(op, op.executions[0], NoConnection)
+	expect(t, "action", did.last(), "decline 7 after true")
+}
+
+func TestNoStormOfRepeats(t *testing.T) {
+	for spare, want := range map[float64]string{0: "decline 7 after true", 1: "execute 7 on 2"} {
+		r, did := fleet(2, nil)
+		r.spare = spare
+		op := begun(r, "view", r.servers[1], false, false)
+		r.further(op, op.executions[0], Error)
+		expect(t, "action", did.last(), want)
+	}
+}
+
+// Where nothing stops the work, cutting executions off under load wasted it (arkib-dialek, first incident).
+func TestNothingIsCutOffOnAServerThatAnswers(t *testing.T) {
+	for fails, want := range map[int]bool{0: false, 1: true} {
+		var limit float64
+		r, _ := fleet(1, func(s *Settings) { s.SecondCopies = false })
+		r.host = limited{&notes{}, &limit}
+		r.servers[1].fails, r.spare = fails, 5
+		r.execute(&operation{id: 7, row: r.rows["view"], due: 0.4, hardStop: 1}, r.servers[1])
+		expect(t, "cut off", limit < 1, want)
+	}
+}
+
+type limited struct {
+	*notes
+	limit *float64
+}
+
+func (l limited) Execute(op, s uint64, limit float64) { *l.limit = limit }
+
+func TestRefusedConnectionsBenchACacheAndItComesBackCold(t *testing.T) {
+	r, _ := fleet(2, nil)
+	s := r.servers[1]
+	op := begun(r, "view", s, true, false)
+	r.learn(op.executions[0], NoConnection, 0.05)
+	expect(t, "sick", r.sick(s), true)
+	r.now = s.until + 0.01
+	expect(t, "sick after the wait", r.sick(s), false)
+	r.learn(op.executions[0], Finished, 0.05)
+	expect(t, "warmth", r.warmth(s), 0.25)
+}
+
+func TestDoubtFallsOnTheViewWhenMostLookBad(t *testing.T) {
+	r, _ := fleet(2, nil)
+	for _, s := range r.ready {
+		s.fails, s.until = 3, 9
+	}
+	r.ready[0].down = true
+	op := begun(r, "view", nil, false, true)
+	expect(t, "choice", r.choose(op, false).ID, uint64(2))
+}
+
+func TestRestartUnderTheSameIDIsCold(t *testing.T) {
+	r, _ := fleet(2, nil)
+	r.Listed(30, Diff, []Member{{ID: 1, Mode: InService, Capacity: 1, Started: 29}})
+	expect(t, "warmth", math.Round(r.warmth(r.servers[1])*1e4), 2875.0)
+}
+
+func TestAbsentFromASnapshotIsGone(t *testing.T) {
+	r, _ := fleet(2, nil)
+	r.Listed(1, Snapshot, []Member{{ID: 2, Mode: InService, Capacity: 1}})
+	expect(t, "mode", r.servers[1].Mode, Gone)
+	expect(t, "ready", len(r.ready), 1)
+}
+
+func TestFailedCallsWaitLongerAndAskAgain(t *testing.T) {
+	r, did := fleet(1, func(s *Settings) { s.OnRequest, s.AskWithin = true, 16 })
+	r.Listed(1, Failed, nil)
+	r.Listed(2, Failed, nil)
+	expect(t, "wait", r.wait, 2.0)
+	r.Wake(3, "rewatch")
+	expect(t, "action", did.last(), "watch true")
+}
+
+func TestColdCacheStaysWithinItsBudget(t *testing.T) {
+	r, _ := fleet(4, nil)
+	s := r.ready[0]
+	s.fresh, s.budget, s.filled, r.now = 100, 1, 100, 100
+	r.flow, r.flowAt = 400, 100 // 100 a second and cache
+	sent := 0.0
+	for range 3000 { // the rule's window, in steps of a millisecond
+		r.now += 0.001
+		for !r.tips(s) {
+			s.budget--
+			sent++
+		}
+	}
+	// What the rule allows a cache that finishes 100 a second and starts at a quarter.
+	if allowed := 4 * 0.25 * 100 * 3.0; sent > allowed || sent < allowed/4 {
+		t.Errorf("%v executions in the window, %v allowed", sent, allowed)
+	}
+}
+
+func TestFreshCacheAnswersForAWideningSlice(t *testing.T) {
+	r, _ := fleet(4, nil)
+	slice := func(age float64) (n int) {
+		r.servers[1].fresh, r.now = 100, 100+age
+		for key := range uint32(2000) {
+			if r.nearest(stir(key), func(*server) bool { return true }).ID == 1 {
+				n++
+			}
+		}
+		return n
+	}
+	if a, b, c := slice(0), slice(10), slice(20); a >= b || b >= c || a > 250 {
+		t.Errorf("slices of %d, %d and %d keys of 2000", a, b, c)
+	}
+}
+
+// A cache half slower than the rest jams while others idle (samabay-booking, quiet day).
+func TestSlowCacheGivesUpPointsGently(t *testing.T) {
+	r, _ := fleet(2, nil)
+	s := r.servers[1]
+	s.slow = 3
+	r.learn(begun(r, "view", s, true, false).executions[0], Finished, 0.4)
+	expect(t, "share", s.share, 1-1.0/64)
+}
+
+// One tenant's surplus made the others late (riga-order-cache, rough-1).
+func TestSurplusYieldsFirst(t *testing.T) {
+	r, _ := fleet(1, nil)
+	s, op := r.servers[1], begun(r, "view", nil, false, true)
+	s.out = []*execution{{of: op, on: s}}
+	r.value = op.row.Benefit / op.row.lag
+	expect(t, "within its share", r.strained(op, s), false)
+	op.worth = 0.05
+	expect(t, "beyond its share", r.strained(op, s), true)
+}
+
+// With most routers stopped, a quota split over all of them starved the tenants of the rest.
+func TestShareIsOfWhatThisRouterFinishes(t *testing.T) {
+	r, _ := fleet(1, func(s *Settings) { s.Tenants = []Tenant{{"a", 2}, {"b", 2}} })
+	r.flow, r.flowAt = 100, 10
+	r.tenants["a"].tokens, r.tenants["a"].at = 0, 9
+	r.Arrived(10, 5, "view", "a", "k", false, 1)
+	expect(t, "worth", r.ops[5].worth, 1.0)
+}
+
+// Tries that can no longer be in time queued ahead of first tries (riga-order-cache).
+func TestLateTriesAreToldByTheTimeLeft(t *testing.T) {
+	for left, want := range map[float64]float64{1: 1, 1.9: 1, 1.5: 0} {
+		r, _ := fleet(1, nil)
+		r.rows["view"].usual, r.rows["view"].votes = 1, 9
+		r.Arrived(10, 5, "view", "", "k", false, left)
+		expect(t, fmt.Sprint("worth with ", left, " left"), r.ops[5].worth, want)
+	}
+}
+
+// Each router's one try kept a jammed cache jammed (arkib-dialek, second incident).
+func TestIdleLineDoesNotKeepAJamAlive(t *testing.T) {
+	r, _ := fleet(1, nil)
+	s, op := r.servers[1], begun(r, "view", nil, false, true)
+	r.value = op.row.Benefit / op.row.lag
+	s.slow = 3
+	expect(t, "slow, but in time", r.strained(op, s), false)
+	s.slow = 4.5
+	expect(t, "too slow", r.strained(op, s), true)
+}
+
+func TestZeroSettingsAreHarmless(t *testing.T) {
+	did := &notes{}
+	r := New(0, Settings{TrafficTypes: []TrafficType{{Name: "view"}}, Tenants: []Tenant{{"a", -1}}}, did)
+	r.Listed(0, Disk, []Member{{ID: 1, Mode: InService, Started: 1}, {ID: 2, Mode: InService, Capacity: -3}})
+	for i := range uint64(50) {
+		r.Arrived(1, i, []string{"view", "unknown"}[i%2], "a", "", false, float64(i%3)-1)
+		r.Settled(1, i, 0, Outcome(i%12), 0, false)
+	}
+	expect(t, "operations left without an answer or an execution", len(did.did) >= 50, true)
+}
