--- a/logic/logic.go
+++ b/logic/logic.go
@@ -103,6 +103,7 @@
 	usual float64 // the time that clients leave for a first try
 	votes int     // for usual, less those against
 	lag   float64 // a finished execution's mean time, as seen
+	heard float64 // when that last changed
 }
 
 type tenant struct {
@@ -551,7 +552,7 @@
 		return // neither a miss nor a read at the origin tells of the usual path
 	}
 	if how == Finished {
-		t.lag = max(t.lag+(lag-t.lag)/16, 1e-6)
+		t.lag, t.heard = max(t.lag+(lag-t.lag)/16, 1e-6), r.now
 	}
 	s.slow += (min(lag/t.lag, 4) - s.slow) / 8 // a single long one says little
 	s.heard = r.now
@@ -582,9 +583,12 @@
 }
 
 // expect is the time that an execution on s is expected to take. What was seen of s fades within the
-// promised time, so that a server that is shunned is not held slow for ever.
+// promised time, and so does a type.s mean: what is shunned is not held slow for ever.
 func (r *Router) expect(op *operation, s *server) float64 {
-	return op.row.lag * (1 + (s.slow-1)*math.Exp(-(r.now-s.heard)/op.row.PromisedTime/8))
+	t := op.row
+	usual := t.PromisedTime / 4
+	lag := usual + (t.lag-usual)*math.Exp(-(r.now-t.heard)/t.PromisedTime/8)
+	return lag * (1 + (s.slow-1)*math.Exp(-(r.now-s.heard)/op.row.PromisedTime/8))
 }
 
 // giveUp sends the final answer of an operation that will get no other, at once.
