--- a/logic/logic.go
+++ b/logic/logic.go
@@ -100,10 +100,9 @@
 // row is the table of what differs by traffic type.
 type row struct {
 	TrafficType
-	usual float64 // the time that clients leave for a first try
-	votes int     // for usual, less those against
-	lag   float64 // a finished execution's mean time, as seen
-	heard float64 // when that last changed
+	usual      float64 // the time that clients leave for a first try
+	votes      int     // for usual, less those against
+	lag, heard float64 // a finished execution's mean time, as seen, and when that changed
 }
 
 type tenant struct {
@@ -258,11 +257,10 @@
 // order gives the points of the ready caches by similarity to a slot.
 func (r *Router) order(slot uint32) []point {
 	if r.orders[slot] == nil {
-		circle := table()
 		for _, s := range r.ready {
 			for rank := range s.points {
 				at := mix(uint32(rank), s.ID) % slots
-				r.orders[slot] = append(r.orders[slot], point{s, rank, distance(&circle[slot], &circle[at])})
+				r.orders[slot] = append(r.orders[slot], point{s, rank, distance(&table()[slot], &table()[at])})
 			}
 		}
 		slices.SortFunc(r.orders[slot], func(a, b point) int {
@@ -582,13 +580,12 @@
 	}
 }
 
-// expect is the time that an execution on s is expected to take. What was seen of s fades within the
-// promised time, and so does a type.s mean: what is shunned is not held slow for ever.
+// expect is the time that an execution on s is expected to take. What was seen of s, and of the type, fades
+// within eight promised times: what is shunned is not held slow for ever, and most routers hear more often.
 func (r *Router) expect(op *operation, s *server) float64 {
-	t := op.row
-	usual := t.PromisedTime / 4
-	lag := usual + (t.lag-usual)*math.Exp(-(r.now-t.heard)/t.PromisedTime/8)
-	return lag * (1 + (s.slow-1)*math.Exp(-(r.now-s.heard)/op.row.PromisedTime/8))
+	fade := func(heard float64) float64 { return math.Exp((heard - r.now) / op.row.PromisedTime / 8) }
+	usual := op.row.PromisedTime / 4
+	return (usual + (op.row.lag-usual)*fade(op.row.heard)) * (1 + (s.slow-1)*fade(s.heard))
 }
 
 // giveUp sends the final answer of an operation that will get no other, at once.
@@ -673,12 +670,10 @@
 // bear moves the bound of what the origin is sent: up by one for each full round that it answers in half of
 // the promised time, down by a third, once a round, where it does not.
 func (r *Router) bear(s *server, how Outcome, lag float64, t *row) {
-	if how == Finished && lag < t.PromisedTime/2 {
-		if float64(len(s.out))+1 >= s.limit/2 {
-			s.limit += 1 / s.limit
-		}
-	} else if r.now-s.lowered > lag {
-		s.limit = max(1, s.limit*2/3)
-		s.lowered = r.now
+	switch inTime := how == Finished && lag < t.PromisedTime/2; {
+	case inTime && float64(len(s.out))+1 >= s.limit/2:
+		s.limit += 1 / s.limit
+	case !inTime && r.now-s.lowered > lag:
+		s.limit, s.lowered = max(1, s.limit*2/3), r.now
 	}
 }
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -367,6 +367,17 @@
 	expect(t, "too slow", r.strained(op, s), true)
 }
 
+// A type shed whole was never measured again (samabay-booking, big-2).
+func TestShedTypeIsTriedAgain(t *testing.T) {
+	r, _ := fleet(1, nil)
+	op := begun(r, "view", nil, false, true)
+	op.row.lag, op.row.heard, r.value = 1, 0, op.row.Benefit
+	expect(t, "at once", r.strained(op, r.servers[1]), true)
+	r.now = 16 * op.row.PromisedTime
+	op.due = r.now + op.row.PromisedTime
+	expect(t, "later", r.strained(op, r.servers[1]), false)
+}
+
 func TestZeroSettingsAreHarmless(t *testing.T) {
 	did := &notes{}
 	r := New(0, Settings{TrafficTypes: []TrafficType{{Name: "view"}}, Tenants: []Tenant{{"a", -1}}}, did)
