--- a/logic/logic.go
+++ b/logic/logic.go
@@ -349,12 +349,12 @@
 	may := func(s *server) bool {
 		return !op.any(func(e *execution) bool { return e.on == s }) && r.mayExecute(op, s) && !r.tips(s)
 	}
-	well := func(s *server) bool { return may(s) && (!r.sick(s) || doubt && !s.down) }
+	fit := func(s *server) bool { return may(s) && (!r.sick(s) || doubt && !s.down) }
 	// A key used often (three times in a warm-up tells it from most) is soon kept at the next cache too, and
-	// its miss there is within the origin's bound: it is not shed while that cache has room.
+	// its miss is within the origin's bound: it is not shed while that has room. A jam must not spread, though.
 	hot := r.set.Aside && r.heat[op.hash%slots] > 3 && op.worth == 1
-	best := func(s *server) bool { return well(s) && !r.crowded(s) && !(hot && r.strained(op, s)) }
-	for _, pass := range []func(*server) bool{best, well, may} {
+	best := func(s *server) bool { return fit(s) && !r.crowded(s) && !(hot && s.fails == 0 && r.strained(op, s)) }
+	for _, pass := range []func(*server) bool{best, fit, may} {
 		if s := r.nearest(op.hash, pass); s != nil {
 			return s
 		}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -380,11 +380,14 @@
 
 // Keys used often were shed at a full cache while others idled (riga-order-cache, third incident).
 func TestHotKeyGoesOnFromAStrainedCache(t *testing.T) {
-	for heat, moved := range map[float64]bool{1: false, 9: true} {
+	for heat, moved := range map[float64]bool{1: false, 9: true, 10: false} {
 		r, _ := fleet(3, func(s *Settings) { s.Aside = true })
 		op := begun(r, "view", nil, false, true)
 		first := r.choose(op, false)
 		first.slow, r.value, r.heat[op.hash%slots] = 9, op.row.Benefit/op.row.lag, heat
+		if heat == 10 {
+			first.fails = 1 // a jam must not spread (arkib-dialek, second incident)
+		}
 		expect(t, fmt.Sprint("moved at heat ", heat), r.choose(op, false) != first, moved)
 	}
 }
