--- a/logic/logic.go
+++ b/logic/logic.go
@@ -353,7 +353,8 @@
 	// A key used often (three times in a warm-up tells it from most) is soon kept at the next cache too, and
 	// its miss is within the origin's bound: it is not shed while that has room. A jam must not spread, though.
 	hot := r.set.Aside && r.heat[op.hash%slots] > 3 && op.worth == 1
-	best := func(s *server) bool { return fit(s) && !r.crowded(s) && !(hot && s.fails == 0 && r.strained(op, s)) }
+	free := func(s *server) bool { return !(hot && s.fails == 0 && r.strained(op, s)) && !r.crowded(s) }
+	best := func(s *server) bool { return fit(s) && free(s) }
 	for _, pass := range []func(*server) bool{best, fit, may} {
 		if s := r.nearest(op.hash, pass); s != nil {
 			return s
@@ -606,7 +607,6 @@
 	r.forget(op)
 }
 
-// withdraw stops an operation's executions, but for the one numbered keep.
 func (r *Router) withdraw(op *operation, keep int) {
 	for _, e := range op.executions {
 		if e.out && e.n != keep && r.set.Cancelling {
