--- a/logic/logic.go
+++ b/logic/logic.go
@@ -11,7 +11,6 @@
 	"math"
 	"math/bits"
 	"slices"
-	"strconv"
 	"sync"
 )
 
@@ -475,16 +474,11 @@
 	s.out = append(s.out, e)
 	s.budget--
 	limit := op.hardStop - r.now
-	// The last moment at which one more execution fits into the promised time.
+	// On a server that just failed it is cut off at the last moment at which one more execution fits into the
+	// promised time. Elsewhere a cut may stop no work, and where all are slow another would fare no better.
 	latest := op.due - op.row.lag - r.now
-	if latest > op.row.lag && op.row.Effect == Reissuable && !r.isOrigin(s) {
-		if r.set.SecondCopies {
-			r.host.SetTimer(latest, strconv.FormatUint(op.id, 10))
-		} else if s.fails > 0 && r.spare >= 1 {
-			// Where work cannot be doubled, it is cut off only on a server that just failed: a cut stops no
-			// work there, and where all are slow another execution would fare no better.
-			limit = min(limit, latest)
-		}
+	if s.fails > 0 && r.spare >= 1 && latest > op.row.lag && op.row.Effect == Reissuable && !r.isOrigin(s) {
+		limit = min(limit, latest)
 	}
 	r.host.Execute(op.id, s.ID, limit)
 }
@@ -632,25 +626,12 @@
 	}
 }
 
-// Wake takes a timer. One named by an operation sends a second copy, if its time is worth it and its server
-// has been silent since: a copy helps against a standstill, but only adds to a jam.
+// Wake takes a timer: the list is asked for again, after an error or if nothing came at all.
 func (r *Router) Wake(now float64, name string) {
 	r.now = now
 	overdue := name == "watch" && r.asked > 0 && now-r.asked >= max(1, r.set.AskWithin/2)-r.set.Step
 	if overdue || name == "rewatch" {
 		r.watch()
-		return
-	}
-	id, _ := strconv.ParseUint(name, 10, 64)
-	op := r.ops[id]
-	if op == nil || op.answered || len(op.executions) != 1 || r.spare < 1 || op.due-now < op.row.lag {
-		return
-	}
-	if first := op.executions[0]; first.on.heard <= first.sent {
-		if s := r.choose(op, false); s != nil {
-			r.spare--
-			r.execute(op, s)
-		}
 	}
 }
 
