Let a tenant's bucket hold eight operations, and seek no server where none may execute

Cause: over hundreds of routers a tenant's quota is a fraction of an operation a second. Change: the bucket holds eight, starts with one, and gets back the token of what is declined unsent.

--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -146,7 +146,7 @@
 }
 
 func (n *nested) settings() logic.Settings {
-	family, limits, rules := n.part("familyInfo"), n.part("limits"), n.part("rules")
+	family, limits, rules, prices := n.part("familyInfo"), n.part("limits"), n.part("rules"), n.part("penalties")
 	set := logic.Settings{
 		Me:             int(n.count("me")),
 		Routers:        int(n.count("fleetSize")),
@@ -160,6 +160,8 @@
 		RetryAfter:     limits.flag("retryAfter"),
 		MaxRetryAfter:  limits.seconds("maxRetryAfter"),
 		OverBenefit:    n.number("overageBenefit"),
+		Opening:        prices.number("handshake"),
+		Holding:        prices.number("connection"),
 		AskWithin:      rules.seconds("askWithin"),
 		Fall:           rules.seconds("fall"),
 		TipMultiple:    rules.number("tipMultiple"),
@@ -181,7 +183,7 @@
 		set.Tenants = append(set.Tenants, logic.Tenant{Name: t.text("name"), Quota: t.number("quotaRps")})
 		t.done()
 	}
-	for _, part := range []*nested{family, limits, rules, n} {
+	for _, part := range []*nested{family, limits, rules, prices, n} {
 		part.done()
 	}
 	return set
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -216,6 +216,10 @@
 	i.s.line("RESPOND_ERROR").uint("router", i.id).uint("txn", operation).end()
 }
 
+func (i *instance) Close(server uint64) {
+	i.s.line("SHUT_IDLE").uint("router", i.id).uint("server", server).end()
+}
+
 func (i *instance) SetTimer(delay float64, name string) {
 	i.s.line("SET_TIMER").uint("router", i.id).time("delay", delay).text("name", name).end()
 }
--- a/logic/host.go
+++ b/logic/host.go
@@ -7,6 +7,7 @@
 	Withdraw(operation uint64, n int)                // stop waiting for the operation's n-th execution
 	Decline(operation uint64, retryAfter float64)    // final answer: trying again is harmless
 	Terminate(operation uint64)                      // final answer: promises nothing
+	Close(server uint64)                             // close the idle connections to a server
 	SetTimer(delay float64, name string)             // call Wake with name after delay
 	Watch(on bool)                                   // ask for list changes from now on
 }
@@ -116,6 +117,8 @@
 	MaxRetryAfter  float64
 	OverBenefit    float64 // what traffic beyond a tenant's share is worth, as a part of the usual
 	AskWithin      float64
+	Opening        float64 // price of a new connection for each operation
+	Holding        float64 // price of 100 open connections a server
 	Fall           float64
 	TipMultiple    float64
 	StartCapacity  float64
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -59,8 +59,10 @@
 // distance counts the bits in which two vectors differ, as far as the limit: most of a large fleet's points
 // are far away, and to know that they are takes a few words of them.
 func distance(a, b *vector, limit int) (bitsApart int) {
-	for w := 0; w < len(a) && bitsApart <= limit; w++ {
-		bitsApart += bits.OnesCount64(a[w] ^ b[w])
+	for w := range a {
+		if bitsApart += bits.OnesCount64(a[w] ^ b[w]); w%8 == 7 && bitsApart > limit {
+			break
+		}
 	}
 	return bitsApart
 }
@@ -141,6 +143,7 @@
 	write           bool
 	spread          float64 // how many of the nearest caches share its key
 	worth           float64 // part of its benefit that an answer may still bring
+	paid            *tenant // whose token it took
 	began, answered bool    // its stream has begun; its final answer is out
 	due, hardStop   float64 // the ends of its promised time and of its client's patience
 	executions      []*execution
@@ -172,7 +175,7 @@
 	}
 	for _, t := range set.Tenants {
 		rate := t.Quota / float64(max(1, set.Routers))
-		r.tenants[t.Name] = &tenant{part: t.Quota / max(1, quotas), rate: rate, tokens: rate, at: now}
+		r.tenants[t.Name] = &tenant{part: t.Quota / max(1, quotas), rate: rate, tokens: max(1, rate), at: now}
 	}
 	if set.OnRequest {
 		r.watch()
@@ -265,26 +268,25 @@
 
 // order gives the points of the ready caches that are most similar to a slot, at least n of them or all.
 func (r *Router) order(slot uint32, n int) []point {
-	if n = min(n, len(r.points)); len(r.orders[slot]) < n {
-		near := make([]point, 0, n+1)
-		for _, p := range r.points {
-			limit := dimensions
-			if len(near) == n {
-				limit = near[n-1].far - 1
-			}
-			if p.far = distance(&table()[slot], &table()[p.at], limit); p.far > limit {
-				continue
-			}
-			i := len(near)
-			for i > 0 && near[i-1].far > p.far {
-				i--
-			}
-			near = slices.Insert(near, i, p)
-			near = near[:min(n, len(near))]
+	if n = min(n, len(r.points)); len(r.orders[slot]) >= n {
+		return r.orders[slot]
+	}
+	near, limit, circle := make([]point, 0, n+1), dimensions, table()
+	for _, p := range r.points {
+		if p.far = distance(&circle[slot], &circle[p.at], limit); p.far > limit {
+			continue
+		}
+		i, _ := slices.BinarySearchFunc(near, p.far+1, func(q point, far int) int { return cmp.Compare(q.far, far) })
+		near = slices.Insert(near, i, p)
+		if len(near) > n {
+			near = near[:n]
+		}
+		if len(near) == n {
+			limit = near[n-1].far - 1
 		}
-		r.orders[slot] = near
 	}
-	return r.orders[slot]
+	r.orders[slot] = near
+	return near
 }
 
 // nearest is the design's pick: of the caches that pass, the one most similar to the key; ties go by a hash
@@ -293,7 +295,7 @@
 	tie, far, near := uint32(0), 0, []point(nil)
 	for i := range r.points {
 		if i == len(near) { // few lookups go beyond the first
-			near = r.order(hash%slots, max(16, 4*i))
+			near = r.order(hash%slots, max(16, 8*i))
 		}
 		p := near[i]
 		if best != nil && p.far > far {
@@ -358,6 +360,9 @@
 	if origin {
 		return r.origin(op)
 	}
+	if !r.mayGoOn(op) {
+		return nil // else each lookup that no cache passes ranks them all
+	}
 	sick := 0
 	for _, s := range r.ready {
 		if r.sick(s) {
@@ -427,9 +432,12 @@
 	if b := r.tenants[realm]; b != nil {
 		// Routers may be down or draw unlike traffic: the share is of what this one finishes, if that is more.
 		rate := max(b.rate, b.part*r.finishing())
-		b.tokens, b.at = min(b.tokens+rate*(now-b.at), max(1, rate)), now
-		if b.tokens--; b.tokens < 0 {
-			b.tokens, op.worth = b.tokens+1, r.set.OverBenefit
+		// Its depth evens out the chance of a few operations a second; what is declined unsent gives back its token.
+		if b.tokens, b.at = min(b.tokens+rate*(now-b.at), max(8, rate)), now; b.tokens >= 1 {
+			b.tokens--
+			op.paid = b
+		} else {
+			op.worth = r.set.OverBenefit
 		}
 	}
 	// A client gives all its tries the hard stop together. Most, the first tries, come with the same time left,
@@ -484,17 +492,12 @@
 
 // mayExecute and mayDecline guard the rules in one place.
 func (r *Router) mayExecute(op *operation, s *server) bool {
-	if op.answered || op.began || r.now >= op.hardStop || s.Mode != InService ||
-		r.set.MostExecutions > 0 && len(op.executions) >= r.set.MostExecutions {
+	if !r.mayGoOn(op) || s.Mode != InService {
 		return false
 	}
 	for _, e := range op.executions {
 		switch {
-		case e.out && !r.set.SecondCopies:
-			return false
 		case e.harmless || op.row.Effect == Reissuable:
-		case op.row.Effect == AtMostOnce || r.now-e.sent >= op.row.Window:
-			return false
 		case op.row.Group == Zone && e.on.Zone != s.Zone || op.row.Group == Cell && e.on.Cell != s.Cell:
 			return false
 		}
@@ -502,6 +505,18 @@
 	return true
 }
 
+// mayGoOn tells whether any server at all may execute an operation.
+func (r *Router) mayGoOn(op *operation) bool {
+	if op.answered || op.began || r.now >= op.hardStop ||
+		r.set.MostExecutions > 0 && len(op.executions) >= r.set.MostExecutions {
+		return false
+	}
+	return !op.any(func(e *execution) bool {
+		lapsed := op.row.Effect == AtMostOnce || op.row.Effect == Numbered && r.now-e.sent >= op.row.Window
+		return e.out && !r.set.SecondCopies || !e.harmless && lapsed
+	})
+}
+
 func (r *Router) mayDecline(op *operation) bool {
 	if op.row.Effect == Reissuable || op.row.Effect == Numbered && op.row.Group == All {
 		return true
@@ -633,6 +648,9 @@
 func (r *Router) giveUp(op *operation) {
 	op.answered = true
 	r.withdraw(op, -1)
+	if op.paid != nil && len(op.executions) == 0 {
+		op.paid.tokens++
+	}
 	if r.mayDecline(op) {
 		pause := 0.0
 		if r.set.RetryAfter {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -337,6 +337,31 @@
 	expect(t, "worth", r.ops[5].worth, 1.0)
 }
 
+// At a fraction of an operation a second, a bucket of one lost a tenant within its share to chance, and its
+// repeats used it up (riga-order-cache, full size).
+func TestShareHoldsForAFewOperations(t *testing.T) {
+	r, did := fleet(1, func(s *Settings) { s.Tenants, s.Routers = []Tenant{{"a", 100}}, 200 })
+	for i := range uint64(6) {
+		r.Arrived(20, i, "view", "a", "k", false, 1)
+		expect(t, fmt.Sprint("worth of operation ", i), r.ops[i].worth, 1.0)
+	}
+	r.tenants["a"].tokens = 1
+	r.ready, r.points, r.orders = nil, nil, [slots][]point{}
+	r.Arrived(20, 9, "view", "a", "k", false, 1)
+	expect(t, "answer", did.last(), "decline 9 after true")
+	expect(t, "tokens after a decline unsent", r.tenants["a"].tokens, 1.0)
+}
+
+// A whole ranking for each operation out of time took a large fleet's day past its CPU.
+func TestNoServerIsSoughtForAnOperationOutOfTime(t *testing.T) {
+	r, _ := fleet(4, nil)
+	op := begun(r, "view", r.servers[1], false, false)
+	op.hardStop = r.now
+	expect(t, "may go on", r.mayGoOn(op), false)
+	expect(t, "choice", r.choose(op, false), (*server)(nil))
+	expect(t, "slots ranked", len(r.orders[op.hash%slots]), 0)
+}
+
 // Tries that can no longer be in time queued ahead of first tries (riga-order-cache).
 func TestLateTriesAreToldByTheTimeLeft(t *testing.T) {
 	for left, want := range map[float64]float64{1: 1, 1.9: 1, 1.5: 0} {
