Close an idle connection where holding one at every router costs more than opening it anew

With some 350 routers of four operations a second each, a connection to one of 50 caches is used once in 14 s and closed idle after 5: both prices were paid in full. Change: an idle connection is closed where the number of routers times the holding price exceeds the opening price a hundredfold; this follows from the mean wait for the next use and both stated prices, and never acts with a few routers.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -565,6 +565,10 @@
 	e.harmless = how == TurnedAway || how == NoConnection || how == NotSent || how == NotStored
 	e.on.out = slices.DeleteFunc(e.on.out, func(x *execution) bool { return x == e })
 	r.learn(e, how, lag)
+	// A connection kept by each router is dearer than a new one for each operation where they are many.
+	if len(e.on.out) == 0 && float64(r.set.Routers)*r.set.Holding > 100*r.set.Opening {
+		r.host.Close(e.on.ID)
+	}
 	if final {
 		op.answered = true
 		r.withdraw(op, -1)
