Tell peers of a cache that took far longer or shorter than thought

Cause: at full size a router uses each cache once in some ten seconds; what it saw has faded before the next use, and each of hundreds finds the same jam anew. Change: where the settings allow peers, an execution whose time over its type's mean differs by more than one from what was thought is told to all, with the two seen before it (messages of up to 16 bytes cost the same, by trial). One part in a hundred of all benefit, at the stated price, may be spent. A word counts twice an own execution for slowness and four times for the part of the points; it names no server that the list has not named and benches none.

--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -160,6 +160,8 @@
 		RetryAfter:     limits.flag("retryAfter"),
 		MaxRetryAfter:  limits.seconds("maxRetryAfter"),
 		OverBenefit:    n.number("overageBenefit"),
+		Peers:          limits.flag("peers"),
+		Telling:        prices.number("peer"),
 		Opening:        prices.number("handshake"),
 		Holding:        prices.number("connection"),
 		AskWithin:      rules.seconds("askWithin"),
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"encoding/base64"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -192,6 +193,14 @@
 		if name := m.text("name"); m.err == nil {
 			i.router.Wake(now, name)
 		}
+	case "MESSAGE":
+		words, err := base64.StdEncoding.DecodeString(m.text("body"))
+		if err != nil {
+			m.fault("body", "not base64")
+		}
+		if m.err == nil {
+			i.router.Told(now, words)
+		}
 	case "PROBE_RESULT":
 		m.id("server")
 	}
@@ -220,6 +229,11 @@
 	i.s.line("SHUT_IDLE").uint("router", i.id).uint("server", server).end()
 }
 
+func (i *instance) Tell(words []byte) {
+	i.s.line("SIGNAL").uint("router", i.id).text("addressee", "all").
+		text("body", base64.StdEncoding.EncodeToString(words)).end()
+}
+
 func (i *instance) SetTimer(delay float64, name string) {
 	i.s.line("SET_TIMER").uint("router", i.id).time("delay", delay).text("name", name).end()
 }
--- a/logic/helpers_test.go
+++ b/logic/helpers_test.go
@@ -13,6 +13,7 @@
 func (n *notes) Decline(op uint64, after float64)    { n.add("decline %d after %t", op, after > 0) }
 func (n *notes) Terminate(op uint64)                 { n.add("terminate %d", op) }
 func (n *notes) Close(s uint64)                      { n.add("close %d", s) }
+func (n *notes) Tell(words []byte)                   { n.add("tell %x", words) }
 func (n *notes) SetTimer(delay float64, name string) {}
 func (n *notes) Watch(on bool)                       { n.add("watch %t", on) }
 
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -97,6 +97,8 @@
 	heat, heated [slots]float64     // uses of a slot lately, and the count of uses when that was reckoned
 	uses, recent float64            // uses of all slots, and those that are lately
 	ops          map[uint64]*operation
+	words        []byte  // for the peers
+	voice        float64 // messages that may be sent to them
 	spare        float64 // further executions that may still be made
 	flow, flowAt float64 // executions that caches finished a second, and when that was reckoned
 	value        float64 // benefit for a second's execution, the mean of what was judged lately
@@ -160,7 +162,7 @@
 // New starts an instance.
 func New(now float64, set Settings, host Host) *Router {
 	r := &Router{host: host, set: set, now: now, rows: map[string]*row{}, tenants: map[string]*tenant{},
-		servers: map[uint64]*server{}, ops: map[uint64]*operation{}, flowAt: now}
+		servers: map[uint64]*server{}, ops: map[uint64]*operation{}, flowAt: now, voice: 1}
 	for _, t := range set.TrafficTypes {
 		if t.PromisedTime <= 0 { // nothing promised: the hard stop is all there is
 			t.PromisedTime = max(t.HardStop, set.Step, 1e-3)
@@ -375,20 +377,20 @@
 		return !op.any(func(e *execution) bool { return e.on == s }) && r.mayExecute(op, s) && !r.tips(s)
 	}
 	fit := func(s *server) bool { return may(s) && (!r.sick(s) || doubt && !s.down) }
-	// A key used often (three times in a warm-up tells it from most) is soon kept at the next cache too, and
-	// its miss is within the origin's bound: it is not shed while that has room. A jam must not spread, though.
-	hot := r.set.Aside && op.spread > 1 && op.worth == 1
-	free := func(s *server) bool { return !(hot && s.fails == 0 && r.strained(op, s)) && !r.crowded(s) }
-	best := func(s *server) bool { return fit(s) && free(s) }
-	var passed []*server
+	// A key used often is held by several caches, each with its part: it is not shed while one has room. Where the
+	// router asks the origin, a miss is within the origin's bound, and the next cache may do. A jam must not spread.
+	often := op.spread > 1 && op.worth == 1
+	free := func(s *server) bool { return !(often && s.fails == 0 && r.strained(op, s)) && !r.crowded(s) }
+	var sharing []*server
 	turn := int(r.chance() * min(op.spread, float64(len(r.ready))))
 	shared := func(s *server) bool {
-		if slices.Contains(passed, s) || !best(s) {
+		if slices.Contains(sharing, s) || !r.set.Aside && len(sharing) >= int(op.spread) || !fit(s) {
 			return false
 		}
-		passed = append(passed, s)
-		return len(passed) > turn
+		sharing = append(sharing, s)
+		return len(sharing) > turn && free(s)
 	}
+	best := func(s *server) bool { return fit(s) && !r.crowded(s) && (!r.set.Aside || free(s)) }
 	for _, pass := range []func(*server) bool{shared, best, fit, may} {
 		if s := r.nearest(op.hash, pass); s != nil {
 			return s
@@ -612,12 +614,57 @@
 	if how == Finished {
 		t.lag, t.heard = max(t.lag+(lag-t.lag)/16, 1e-6), r.now
 	}
+	was := 1 + (s.slow-1)*math.Exp((s.heard-r.now)/t.PromisedTime/8)
 	s.slow += (min(lag/t.lag, 4) - s.slow) / 8 // a single long one says little
 	s.heard = r.now
+	r.tell(s, lag/t.lag, was)
+	s.yield(1)
+}
+
+// yield moves the part of its points that a cache answers for: gently, for the keys that move miss.
+func (s *server) yield(weight float64) {
 	if s.slow > 1.5 {
-		s.share = max(0.5, s.share-1.0/64)
+		s.share = max(0.5, s.share-weight/64)
 	} else if s.slow < 1 {
-		s.share = min(1, s.share+1.0/256)
+		s.share = min(1, s.share+weight/256)
+	}
+}
+
+// A message holds three words; shorter ones were seen to cost the same. A word is a cache's id and a byte for
+// its time over its type's mean.
+const (
+	wordSize    = 5
+	messageSize = 3 * wordSize
+)
+
+// tell passes on to all peers what is news of a cache: it took far longer, or shorter, than it was thought to.
+// Of hundreds of routers each sees a cache once in many seconds; together they see it all the time.
+func (r *Router) tell(s *server, took, was float64) {
+	if !r.set.Peers || r.isOrigin(s) {
+		return
+	}
+	r.words = append(binary.LittleEndian.AppendUint32(r.words, uint32(s.ID)), byte(min(took*32, 255)))
+	r.words = r.words[max(0, len(r.words)-messageSize):]
+	// One part in a hundred of all benefit, at the stated price, is what messages may cost.
+	cost := r.set.Telling * (messageSize + 1) / 256 * float64(r.set.Routers-1)
+	r.voice = min(r.voice+min(1, 0.01/max(cost, 1e-9)), 4)
+	if r.voice >= 1 && math.Abs(min(took, 4)-was) > 1 {
+		r.voice--
+		r.host.Tell(r.words)
+		r.words = r.words[:0]
+	}
+}
+
+// Told takes a peer's words: what one says counts twice what an execution of our own does, since most are
+// not told. It names no server that the list has not named.
+func (r *Router) Told(now float64, words []byte) {
+	r.now = now
+	for ; len(words) >= wordSize; words = words[wordSize:] {
+		if s := r.servers[uint64(binary.LittleEndian.Uint32(words))]; s != nil && !r.isOrigin(s) {
+			s.slow += (min(float64(words[4])/32, 4) - s.slow) / 4
+			s.heard = now
+			s.yield(4)
+		}
 	}
 }
 
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -453,3 +453,35 @@
 	}
 	expect(t, "operations left without an answer or an execution", len(did.did) >= 50, true)
 }
+
+// Of hundreds of routers each found a jammed cache out anew (all three deployments at full size).
+func TestPeersAreToldOfACacheThatIsSlow(t *testing.T) {
+	for lag, want := range map[float64]string{0.1: "", 0.3: "tell 0100000055"} {
+		r, did := fleet(2, func(s *Settings) { s.Peers = true })
+		r.learn(begun(r, "view", r.servers[1], true, false).executions[0], Finished, lag)
+		expect(t, fmt.Sprint("said after ", lag, " s"), did.last(), want)
+	}
+}
+
+func TestWordsOfPeersAreWeighed(t *testing.T) {
+	r, _ := fleet(2, nil)
+	s := r.servers[1]
+	for _, words := range [][]byte{nil, {1}, {1, 0, 0, 0}, {9, 0, 0, 0, 128}} {
+		r.Told(1, words)
+	}
+	expect(t, "slowness after what says nothing", s.slow, 1.0)
+	r.Told(1, []byte{1, 0, 0, 0, 128})
+	expect(t, "slowness", s.slow, 1.75)
+	expect(t, "share", s.share, 1-1.0/16)
+	expect(t, "passed over", r.sick(s), false)
+}
+
+func TestMessagesCostNoMoreThanTheirPart(t *testing.T) {
+	r, did := fleet(2, func(s *Settings) { s.Peers, s.Telling, s.Routers = true, 0.01, 400 })
+	for i := range 200 {
+		r.tell(r.servers[1], float64(i%2*4), 1)
+	}
+	if n := len(did.did); n < 2 || n > 10 {
+		t.Errorf("%d messages for 200 executions", n)
+	}
+}
