Probe a cache that was not heard of before an operation goes there, where routers ask the origin

Change: where the router asks the origin and a probe an operation costs at most two parts in a hundred, a cache not heard of for a promised time is probed first; silent for an eighth of the promised time, the next one is taken.

--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -202,7 +202,10 @@
 			i.router.Told(now, words)
 		}
 	case "PROBE_RESULT":
-		m.id("server")
+		id, reason := m.id("server"), outcomes[m.text("reason")]
+		if m.err == nil {
+			i.router.Probed(now, id, reason)
+		}
 	}
 }
 
@@ -234,6 +237,10 @@
 		text("body", base64.StdEncoding.EncodeToString(words)).end()
 }
 
+func (i *instance) Probe(server uint64) {
+	i.s.line("SAMPLE").uint("router", i.id).uint("server", server).end()
+}
+
 func (i *instance) SetTimer(delay float64, name string) {
 	i.s.line("SET_TIMER").uint("router", i.id).time("delay", delay).text("name", name).end()
 }
--- a/logic/helpers_test.go
+++ b/logic/helpers_test.go
@@ -14,6 +14,7 @@
 func (n *notes) Terminate(op uint64)                 { n.add("terminate %d", op) }
 func (n *notes) Close(s uint64)                      { n.add("close %d", s) }
 func (n *notes) Tell(words []byte)                   { n.add("tell %x", words) }
+func (n *notes) Probe(s uint64)                      { n.add("probe %d", s) }
 func (n *notes) SetTimer(delay float64, name string) {}
 func (n *notes) Watch(on bool)                       { n.add("watch %t", on) }
 
@@ -52,8 +53,11 @@
 	return r, n0
 }
 
-// begun is an operation with one execution on s, settled as harmless or not, or still out.
+// begun is an operation with one execution on s, or another server, settled as harmless or not, or still out.
 func begun(r *Router, kind string, s *server, out, harmless bool) *operation {
+	if s == nil {
+		s = &server{}
+	}
 	op := &operation{id: 7, row: r.rows[kind], worth: 1, due: r.now + 0.4, hardStop: r.now + 2}
 	op.executions = []*execution{{of: op, on: s, sent: r.now, out: out, harmless: harmless}}
 	r.ops[7] = op
--- a/logic/host.go
+++ b/logic/host.go
@@ -9,6 +9,7 @@
 	Terminate(operation uint64)                      // final answer: promises nothing
 	Close(server uint64)                             // close the idle connections to a server
 	Tell(words []byte)                               // send a short message to every peer
+	Probe(server uint64)                             // look at a server
 	SetTimer(delay float64, name string)             // call Wake with name after delay
 	Watch(on bool)                                   // ask for list changes from now on
 }
@@ -118,7 +119,9 @@
 	MaxRetryAfter  float64
 	OverBenefit    float64 // what traffic beyond a tenant's share is worth, as a part of the usual
 	AskWithin      float64
+	Probes         bool    // servers may be probed
 	Peers          bool    // peers may be told
+	Probing        float64 // price of a probe for each operation
 	Telling        float64 // price of a message of 256 bytes for each operation
 	Opening        float64 // price of a new connection for each operation
 	Holding        float64 // price of 100 open connections a server
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1,5 +1,5 @@
 // Package logic is bendtrestle's decision module. A router process makes one Router with New and then calls
-// one method for each thing that happens: Listed, Arrived, Began, Settled, Left, Wake. The module answers
+// one method for each thing that happens: Listed, Arrived, Began, Settled, Left, Probed, Told, Wake. The module answers
 // by calling the Host it was handed, before the method returns. Host and the plain types are in host.go.
 // Time is in seconds and comes in with each call; equal calls lead to equal actions.
 package logic
@@ -89,6 +89,7 @@
 	draws        uint64 // numbers drawn by chance
 	rows         map[string]*row
 	tenants      map[string]*tenant
+	quotas       float64            // of all tenants
 	servers      map[uint64]*server // every server that a list has named
 	ready        []*server          // the caches in service, by id
 	origins      []*server          // the origin's servers in service, by id
@@ -97,12 +98,12 @@
 	heat, heated [slots]float64     // uses of a slot lately, and the count of uses when that was reckoned
 	uses, recent float64            // uses of all slots, and those that are lately
 	ops          map[uint64]*operation
-	words        []byte  // for the peers
-	voice        float64 // messages that may be sent to them
-	spare        float64 // further executions that may still be made
-	flow, flowAt float64 // executions that caches finished a second, and when that was reckoned
-	value        float64 // benefit for a second's execution, the mean of what was judged lately
-	asked, wait  float64 // when the list was last asked for, 0 if answered; the wait after an error
+	held         []*operation // that wait for a probe
+	words        []byte       // for the peers
+	voice, spare float64      // messages that may be sent to them; further executions that may be made
+	flow, flowAt float64      // executions that caches finished a second, and when that was reckoned
+	value        float64      // benefit for a second's execution, the mean of what was judged lately
+	asked, wait  float64      // when the list was last asked for, 0 if answered; the wait after an error
 }
 
 // row is the table of what differs by traffic type.
@@ -114,7 +115,7 @@
 }
 
 type tenant struct {
-	part, rate, tokens, at float64 // its part of all shares; its share at this router, a token an operation
+	quota, tokens, at float64 // over all routers; operations within its share that may come, at that time
 }
 
 // server is all that is known of one cache server, or of one server of the origin.
@@ -124,6 +125,7 @@
 	out            []*execution
 	share          float64 // part of its points that it answers for, less where it is slower than others
 	slow, heard    float64 // recent time of an execution over the mean of its type, and when that changed
+	probed         float64 // when it last answered a probe in time
 	fails          int     // failures since the last success
 	until          float64 // passed over until then, after failures
 	down           bool    // refused connections since it last answered
@@ -146,6 +148,8 @@
 	spread          float64 // how many of the nearest caches share its key
 	worth           float64 // part of its benefit that an answer may still bring
 	paid            *tenant // whose token it took
+	asks            *server // probed for it, and passed over if that stayed silent
+	asked           float64 // when
 	began, answered bool    // its stream has begun; its final answer is out
 	due, hardStop   float64 // the ends of its promised time and of its client's patience
 	executions      []*execution
@@ -163,6 +167,7 @@
 func New(now float64, set Settings, host Host) *Router {
 	r := &Router{host: host, set: set, now: now, rows: map[string]*row{}, tenants: map[string]*tenant{},
 		servers: map[uint64]*server{}, ops: map[uint64]*operation{}, flowAt: now, voice: 1}
+	r.set.Routers = max(1, set.Routers)
 	for _, t := range set.TrafficTypes {
 		if t.PromisedTime <= 0 { // nothing promised: the hard stop is all there is
 			t.PromisedTime = max(t.HardStop, set.Step, 1e-3)
@@ -171,13 +176,9 @@
 		// several times the mean work.
 		r.rows[t.Name] = &row{TrafficType: t, lag: t.PromisedTime / 4}
 	}
-	quotas := 0.0
 	for _, t := range set.Tenants {
-		quotas += max(0, t.Quota)
-	}
-	for _, t := range set.Tenants {
-		rate := t.Quota / float64(max(1, set.Routers))
-		r.tenants[t.Name] = &tenant{part: t.Quota / max(1, quotas), rate: rate, tokens: max(1, rate), at: now}
+		r.tenants[t.Name] = &tenant{quota: max(0, t.Quota), tokens: 1, at: now}
+		r.quotas += max(0, t.Quota)
 	}
 	if set.OnRequest {
 		r.watch()
@@ -225,11 +226,9 @@
 		s.Member = m
 		seen[s] = true
 	}
-	if kind != Diff {
-		for _, s := range r.servers {
-			if !seen[s] {
-				s.Mode = Gone
-			}
+	for _, s := range r.servers {
+		if kind != Diff && !seen[s] {
+			s.Mode = Gone
 		}
 	}
 	r.regroup()
@@ -246,7 +245,7 @@
 	for _, s := range r.servers {
 		switch {
 		case s.Mode != InService:
-		case r.set.Aside && s.Kind == r.set.OriginKind:
+		case r.isOrigin(s):
 			r.origins = append(r.origins, s)
 		default:
 			r.ready = append(r.ready, s)
@@ -280,10 +279,7 @@
 		}
 		i, _ := slices.BinarySearchFunc(near, p.far+1, func(q point, far int) int { return cmp.Compare(q.far, far) })
 		near = slices.Insert(near, i, p)
-		if len(near) > n {
-			near = near[:n]
-		}
-		if len(near) == n {
+		if near = near[:min(n, len(near))]; len(near) == n {
 			limit = near[n-1].far - 1
 		}
 	}
@@ -303,7 +299,8 @@
 		if best != nil && p.far > far {
 			break
 		}
-		if float64(p.rank) >= math.Ceil(float64(p.on.points)*min(p.on.share, r.warmth(p.on))) || !pass(p.on) {
+		part := min(p.on.share, r.warmth(p.on))
+		if p.rank > 0 && float64(p.rank+1) > float64(p.on.points)*part || !pass(p.on) {
 			continue
 		}
 		if h := mix(hash, p.on.ID); best == nil || h < tie {
@@ -340,7 +337,7 @@
 	}
 	mean := r.finishing() / float64(max(1, len(r.ready)))
 	// Unseen capacity counts for one execution in the rule's time.
-	rate := r.set.TipMultiple * max(w*mean/2, 1/r.set.Fall/float64(max(1, r.set.Routers)))
+	rate := r.set.TipMultiple * max(w*mean/2, 1/r.set.Fall/float64(r.set.Routers))
 	s.budget, s.filled = min(s.budget+rate*(r.now-s.filled), max(1, rate*r.set.Fall/4)), r.now
 	return s.budget < 1
 }
@@ -374,7 +371,7 @@
 	// When half or more look bad the doubt falls on the view, but for those that refuse connections.
 	doubt := 2*sick >= len(r.ready)
 	may := func(s *server) bool {
-		return !op.any(func(e *execution) bool { return e.on == s }) && r.mayExecute(op, s) && !r.tips(s)
+		return s != op.asks && !op.any(func(e *execution) bool { return e.on == s }) && r.mayExecute(op, s) && !r.tips(s)
 	}
 	fit := func(s *server) bool { return may(s) && (!r.sick(s) || doubt && !s.down) }
 	// A key used often is held by several caches, each with its part: it is not shed while one has room. Where the
@@ -399,10 +396,10 @@
 	return nil
 }
 
-// spread counts a use of a slot and tells how many of the nearest caches are to share its keys: as many as
+// shares counts a use of a slot and tells how many of the nearest caches are to share its keys: as many as
 // leave each no more of them than a quarter of a cache's mean part. The pass-over alone cannot see a key that
 // hundreds of routers use now and then.
-func (r *Router) spread(slot uint32) float64 {
+func (r *Router) shares(slot uint32) float64 {
 	caches := float64(max(1, len(r.ready)))
 	keep := 1 - 1/(4*caches) // lately: some four uses a cache
 	lately := r.heat[slot] * math.Pow(keep, r.uses-r.heated[slot])
@@ -430,10 +427,10 @@
 	}
 	// The answer leaves a step before the client gives up, since it takes effect with a batch.
 	op := &operation{id: id, row: t, hash: hash, write: write, worth: 1, due: now + t.PromisedTime,
-		hardStop: now + left - r.set.Step}
+		hardStop: now + left - r.set.Step, spread: r.shares(hash % slots)}
 	if b := r.tenants[realm]; b != nil {
 		// Routers may be down or draw unlike traffic: the share is of what this one finishes, if that is more.
-		rate := max(b.rate, b.part*r.finishing())
+		rate := b.quota * max(1/float64(r.set.Routers), r.finishing()/max(1, r.quotas))
 		// Its depth evens out the chance of a few operations a second; what is declined unsent gives back its token.
 		if b.tokens, b.at = min(b.tokens+rate*(now-b.at), max(8, rate)), now; b.tokens >= 1 {
 			b.tokens--
@@ -453,13 +450,48 @@
 		op.worth *= t.OverdueBenefit
 	}
 	r.ops[id] = op
-	spread := r.spread(hash % slots)
 	r.spare = min(r.spare+0.1, 10) // a tenth more executions than operations at most: no storm of repeats
-	op.spread = spread
-	if s := r.choose(op, r.set.Aside && write); s != nil && !r.strained(op, s) {
-		r.execute(op, s)
-	} else {
+	r.begin(op, r.choose(op, r.set.Aside && write))
+}
+
+// begin makes an operation's first execution, if its server is not strained. Where the router asks the origin
+// and a cache was not heard of for a promised time, it is probed first: hundreds of routers would each lose an
+// operation to a jam. A probe an operation may cost two parts in a hundred of all benefit.
+func (r *Router) begin(op *operation, s *server) {
+	switch unsure := op.asks == nil && r.set.Aside && r.set.Probes && r.set.Probing <= 0.02; {
+	case s == nil || r.strained(op, s):
 		r.giveUp(op)
+	case unsure && !r.isOrigin(s) && r.now-max(s.heard, s.probed) > op.row.PromisedTime:
+		op.asks, op.asked = s, r.now
+		r.held = append(r.held, op)
+		r.host.Probe(s.ID)
+		r.host.SetTimer(op.row.PromisedTime/8, "held") // time enough remains for another cache, or the origin
+	default:
+		r.execute(op, s)
+	}
+}
+
+// Probed takes the end of a probe.
+func (r *Router) Probed(now float64, id uint64, how Outcome) {
+	r.now = now
+	if s := r.servers[id]; s != nil && how == Finished {
+		s.probed = now
+	}
+	r.release(func(op *operation) bool { return op.asks.ID == id })
+}
+
+// release goes on with operations held for a probe: at the cache that answered it, else at the next.
+func (r *Router) release(which func(*operation) bool) {
+	for _, op := range slices.Clone(r.held) {
+		if !which(op) {
+			continue
+		}
+		r.held = slices.DeleteFunc(r.held, func(o *operation) bool { return o == op })
+		if s := op.asks; s.probed == r.now && r.mayExecute(op, s) && !r.tips(s) {
+			r.execute(op, s)
+		} else if !op.answered {
+			r.begin(op, r.choose(op, false))
+		}
 	}
 }
 
@@ -492,22 +524,8 @@
 
 func (e *execution) isOut() bool { return e.out }
 
-// mayExecute and mayDecline guard the rules in one place.
-func (r *Router) mayExecute(op *operation, s *server) bool {
-	if !r.mayGoOn(op) || s.Mode != InService {
-		return false
-	}
-	for _, e := range op.executions {
-		switch {
-		case e.harmless || op.row.Effect == Reissuable:
-		case op.row.Group == Zone && e.on.Zone != s.Zone || op.row.Group == Cell && e.on.Cell != s.Cell:
-			return false
-		}
-	}
-	return true
-}
-
-// mayGoOn tells whether any server at all may execute an operation.
+// mayGoOn, mayExecute and mayDecline guard the rules in one place: whether any server at all may execute an
+// operation, whether this one may, and whether the client may be told that trying again is harmless.
 func (r *Router) mayGoOn(op *operation) bool {
 	if op.answered || op.began || r.now >= op.hardStop ||
 		r.set.MostExecutions > 0 && len(op.executions) >= r.set.MostExecutions {
@@ -519,6 +537,13 @@
 	})
 }
 
+func (r *Router) mayExecute(op *operation, s *server) bool {
+	return r.mayGoOn(op) && s.Mode == InService && !op.any(func(e *execution) bool {
+		outside := op.row.Group == Zone && e.on.Zone != s.Zone || op.row.Group == Cell && e.on.Cell != s.Cell
+		return !e.harmless && op.row.Effect == Numbered && outside
+	})
+}
+
 func (r *Router) mayDecline(op *operation) bool {
 	if op.row.Effect == Reissuable || op.row.Effect == Numbered && op.row.Group == All {
 		return true
@@ -535,10 +560,11 @@
 	s.out = append(s.out, e)
 	s.budget--
 	limit := op.hardStop - r.now
-	// On a server that just failed it is cut off at the last moment at which one more execution fits into the
-	// promised time. Elsewhere a cut may stop no work, and where all are slow another would fare no better.
-	latest := op.due - op.row.lag - r.now
-	if s.fails > 0 && r.spare >= 1 && latest > op.row.lag && op.row.Effect == Reissuable && !r.isOrigin(s) {
+	// It is cut off at the last moment at which one more execution fits into the promised time on a server that
+	// just failed, or while few of these were needed and copies may run. Elsewhere a cut may stop no work, and
+	// where all are slow another would fare no better.
+	latest, cut := op.due-op.row.lag-r.now, s.fails > 0 && r.spare >= 1 || r.set.SecondCopies && r.spare >= 5
+	if cut && latest > op.row.lag && op.row.Effect == Reissuable && !r.isOrigin(s) {
 		limit = min(limit, latest)
 	}
 	r.host.Execute(op.id, s.ID, limit)
@@ -547,12 +573,10 @@
 // Began takes the start of a stream: there is no hard stop from here on, and no other execution.
 func (r *Router) Began(now float64, id uint64, n int) {
 	r.now = now
-	op := r.ops[id]
-	if op == nil || n < 0 || n >= len(op.executions) {
-		return
+	if op := r.ops[id]; op != nil && n >= 0 && n < len(op.executions) {
+		op.began = true
+		r.withdraw(op, n)
 	}
-	op.began = true
-	r.withdraw(op, n)
 }
 
 // Settled takes the end of an execution.
@@ -571,13 +595,12 @@
 	if len(e.on.out) == 0 && float64(r.set.Routers)*r.set.Holding > 100*r.set.Opening {
 		r.host.Close(e.on.ID)
 	}
-	if final {
-		op.answered = true
-		r.withdraw(op, -1)
-	} else if !op.answered {
+	switch {
+	case final || op.answered:
+		r.end(op)
+	default:
 		r.further(op, e, how)
 	}
-	r.forget(op)
 }
 
 // learn keeps what an outcome says of its server.
@@ -615,27 +638,23 @@
 		t.lag, t.heard = max(t.lag+(lag-t.lag)/16, 1e-6), r.now
 	}
 	was := 1 + (s.slow-1)*math.Exp((s.heard-r.now)/t.PromisedTime/8)
-	s.slow += (min(lag/t.lag, 4) - s.slow) / 8 // a single long one says little
-	s.heard = r.now
+	s.seem(r.now, lag/t.lag, 1.0/8, 1) // a single long one says little
 	r.tell(s, lag/t.lag, was)
-	s.yield(1)
 }
 
-// yield moves the part of its points that a cache answers for: gently, for the keys that move miss.
-func (s *server) yield(weight float64) {
+// seem moves a cache's slowness, and gently the part of its points: the keys that move miss.
+func (s *server) seem(now, took, weight, steps float64) {
+	s.slow, s.heard = s.slow+(min(took, 4)-s.slow)*weight, now
 	if s.slow > 1.5 {
-		s.share = max(0.5, s.share-weight/64)
+		s.share = max(0.5, s.share-steps/64)
 	} else if s.slow < 1 {
-		s.share = min(1, s.share+weight/256)
+		s.share = min(1, s.share+steps/256)
 	}
 }
 
 // A message holds three words; shorter ones were seen to cost the same. A word is a cache's id and a byte for
 // its time over its type's mean.
-const (
-	wordSize    = 5
-	messageSize = 3 * wordSize
-)
+const wordSize, messageSize = 5, 15
 
 // tell passes on to all peers what is news of a cache: it took far longer, or shorter, than it was thought to.
 // Of hundreds of routers each sees a cache once in many seconds; together they see it all the time.
@@ -661,9 +680,7 @@
 	r.now = now
 	for ; len(words) >= wordSize; words = words[wordSize:] {
 		if s := r.servers[uint64(binary.LittleEndian.Uint32(words))]; s != nil && !r.isOrigin(s) {
-			s.slow += (min(float64(words[4])/32, 4) - s.slow) / 4
-			s.heard = now
-			s.yield(4)
+			s.seem(now, float64(words[4])/32, 1.0/4, 4)
 		}
 	}
 }
@@ -697,8 +714,6 @@
 
 // giveUp sends the final answer of an operation that will get no other, at once.
 func (r *Router) giveUp(op *operation) {
-	op.answered = true
-	r.withdraw(op, -1)
 	if op.paid != nil && len(op.executions) == 0 {
 		op.paid.tokens++
 	}
@@ -711,7 +726,18 @@
 	} else {
 		r.host.Terminate(op.id)
 	}
-	r.forget(op)
+	r.end(op)
+}
+
+// end stops what is still out of an answered operation, and drops it once nothing is.
+func (r *Router) end(op *operation) {
+	if !op.answered {
+		op.answered = true
+		r.withdraw(op, -1)
+	}
+	if !op.any((*execution).isOut) {
+		delete(r.ops, op.id)
+	}
 }
 
 func (r *Router) withdraw(op *operation, keep int) {
@@ -722,30 +748,22 @@
 	}
 }
 
-// forget drops an operation that is answered and has nothing out.
-func (r *Router) forget(op *operation) {
-	if op.answered && !op.any((*execution).isOut) {
-		delete(r.ops, op.id)
-	}
-}
-
 // Left takes the client's departure.
 func (r *Router) Left(now float64, id uint64) {
 	r.now = now
 	if op := r.ops[id]; op != nil {
-		op.answered = true
-		r.withdraw(op, -1)
-		r.forget(op)
+		r.end(op)
 	}
 }
 
-// Wake takes a timer: the list is asked for again, after an error or if nothing came at all.
+// Wake takes a timer: a probe stayed silent; or the list is asked for again, after an error or if nothing came.
 func (r *Router) Wake(now float64, name string) {
 	r.now = now
 	overdue := name == "watch" && r.asked > 0 && now-r.asked >= max(1, r.set.AskWithin/2)-r.set.Step
 	if overdue || name == "rewatch" {
 		r.watch()
 	}
+	r.release(func(op *operation) bool { return now-op.asked >= op.row.PromisedTime/8-r.set.Step })
 }
 
 // The origin.
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -412,17 +412,17 @@
 // One key can ask more than a cache bears, and no router of hundreds sees it in flight (big days at full size).
 func TestKeyUsedOftenIsSharedByTheNearest(t *testing.T) {
 	r, _ := fleet(40, nil)
-	expect(t, "first use", r.spread(5), 1.0)
+	expect(t, "first use", r.shares(5), 1.0)
 	for i := range uint32(200) {
-		r.spread(100 + i)
+		r.shares(100 + i)
 	}
-	expect(t, "second use", r.spread(5), 1.0)
+	expect(t, "second use", r.shares(5), 1.0)
 	for i := range uint32(100) {
-		r.spread(5)
-		r.spread(300 + i)
+		r.shares(5)
+		r.shares(300 + i)
 	}
 	op, picked := begun(r, "view", nil, false, true), map[uint64]bool{}
-	if op.spread = r.spread(5); op.spread < 20 {
+	if op.spread = r.shares(5); op.spread < 20 {
 		t.Errorf("a third of all uses shared by %v caches", op.spread)
 	}
 	op.spread = 3
@@ -485,3 +485,31 @@
 		t.Errorf("%d messages for 200 executions", n)
 	}
 }
+
+// A jam took an operation of each of hundreds of routers, since none had heard of it (arkib-dialek, full size).
+func TestCacheNotHeardOfIsProbedFirst(t *testing.T) {
+	start := func() (*Router, *notes, *operation) {
+		r, did := fleet(3, func(s *Settings) { s.Aside, s.Probes = true, true })
+		r.Arrived(9, 5, "view", "", "k", false, 1)
+		return r, did, r.ops[5]
+	}
+	r, did, op := start()
+	asked := op.asks.ID
+	expect(t, "first", did.last(), fmt.Sprint("probe ", asked))
+	r.Probed(9.01, asked, Finished)
+	expect(t, "after an answer", did.last(), fmt.Sprint("execute 5 on ", asked))
+	r.Arrived(9.02, 6, "view", "", "k", false, 1)
+	expect(t, "soon after", did.last(), fmt.Sprint("execute 6 on ", asked))
+	for how, end := range map[string]func(){
+		"refused": func() { r.Probed(9.01, asked, NoAnswer) }, "silent": func() { r.Wake(9.05, "held") }} {
+		r, did, op = start()
+		end()
+		if did.last() == fmt.Sprint("execute 5 on ", asked) || len(op.executions) != 1 || len(r.held) != 0 {
+			t.Errorf("%s: %v, %d executions, %d held", how, did.did, len(op.executions), len(r.held))
+		}
+	}
+	r, did, _ = start()
+	r.Left(9.01, 5)
+	r.Probed(9.02, asked, Finished)
+	expect(t, "after its client left", did.last(), fmt.Sprint("probe ", asked))
+}
