Spare fresh caches what the warm ones shed, and move the records to the plain types

Warm caches shed most of an overload; a cold one showed no strain and got its slice of all that was offered. Change: a fresh cache's slice shrinks with the part of operations executed of late, beyond half of what tips it.

--- a/logic/host.go
+++ b/logic/host.go
@@ -132,3 +132,62 @@
 	TrafficTypes   []TrafficType
 	Tenants        []Tenant
 }
+
+// The records that the module keeps.
+
+// row is the table of what differs by traffic type.
+type row struct {
+	TrafficType
+	usual      float64 // the time that clients leave for a first try
+	votes      int     // for usual, less those against
+	lag, heard float64 // a finished execution's mean time, as seen, and when that changed
+}
+
+type tenant struct {
+	quota, tokens, at float64 // over all routers; operations within its share that may come, at that time
+}
+
+// server is all that is known of one cache server, or of one server of the origin.
+type server struct {
+	Member
+	points         int // its places on the circle
+	out            []*execution
+	share          float64 // part of its points that it answers for, less where it is slower than others
+	slow, heard    float64 // recent time of an execution over the mean of its type, and when that changed
+	probed         float64 // when it last answered a probe in time
+	fails          int     // failures since the last success
+	until          float64 // passed over until then, after failures
+	down           bool    // refused connections since it last answered
+	fresh          float64 // when it is taken to have started; 0: long ago
+	budget, filled float64 // executions that may be sent to it while it is cold, and when that was filled
+	limit, lowered float64 // origin: executions it may hold of this router, and when that was lowered
+}
+
+type point struct {
+	on        *server
+	at        uint32 // its slot
+	rank, far int    // its number among its server's points; Hamming distance to the slot looked up
+}
+
+type operation struct {
+	id              uint64
+	row             *row
+	hash            uint32
+	write           bool
+	spread          float64 // how many of the nearest caches share its key
+	worth           float64 // part of its benefit that an answer may still bring
+	paid            *tenant // whose token it took
+	asks            *server // probed for it, and passed over if that stayed silent
+	asked           float64 // when
+	began, answered bool    // its stream has begun; its final answer is out
+	due, hardStop   float64 // the ends of its promised time and of its client's patience
+	executions      []*execution
+}
+
+type execution struct {
+	of            *operation
+	on            *server
+	n             int
+	sent          float64
+	out, harmless bool // not settled; proved never to have run
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1,7 +1,7 @@
-// Package logic is bendtrestle's decision module. A router process makes one Router with New and then calls
-// one method for each thing that happens: Listed, Arrived, Began, Settled, Left, Probed, Told, Wake. The module answers
-// by calling the Host it was handed, before the method returns. Host and the plain types are in host.go.
-// Time is in seconds and comes in with each call; equal calls lead to equal actions.
+// Package logic is bendtrestle's decision module. A router process makes one Router with New and then calls one
+// method for each thing that happens: Listed, Arrived, Began, Settled, Left, Probed, Told, Wake. The module answers by
+// calling the Host it was handed, before the method returns. Host and the plain types, the records of servers and
+// operations among them, are in host.go. Time is in seconds; equal calls lead to equal actions.
 package logic
 
 import (
@@ -56,8 +56,7 @@
 	return &circle
 })
 
-// distance counts the bits in which two vectors differ, as far as the limit: most of a large fleet's points
-// are far away, and to know that they are takes a few words of them.
+// distance counts the bits in which two vectors differ, up to the limit: most points are far, as few words tell.
 func distance(a, b *vector, limit int) (bitsApart int) {
 	for w := range a {
 		if bitsApart += bits.OnesCount64(a[w] ^ b[w]); w%8 == 7 && bitsApart > limit {
@@ -67,8 +66,7 @@
 	return bitsApart
 }
 
-// mix hashes a number. crc32 alone is affine: sums of two inputs compare alike under any seed, so its bits
-// are stirred before anyone compares them.
+// mix hashes a number. crc32 alone is affine, two inputs compare alike under any seed: so its bits are stirred.
 func mix(seed uint32, x uint64) uint32 {
 	var b [8]byte
 	binary.LittleEndian.PutUint64(b[:], x)
@@ -102,78 +100,21 @@
 	words        []byte       // for the peers
 	voice, spare float64      // messages that may be sent to them; further executions that may be made
 	flow, flowAt float64      // executions that caches finished a second, and when that was reckoned
+	taken        float64      // part of the operations of late that were executed at all
 	value        float64      // benefit for a second's execution, the mean of what was judged lately
 	asked, wait  float64      // when the list was last asked for, 0 if answered; the wait after an error
 }
 
-// row is the table of what differs by traffic type.
-type row struct {
-	TrafficType
-	usual      float64 // the time that clients leave for a first try
-	votes      int     // for usual, less those against
-	lag, heard float64 // a finished execution's mean time, as seen, and when that changed
-}
-
-type tenant struct {
-	quota, tokens, at float64 // over all routers; operations within its share that may come, at that time
-}
-
-// server is all that is known of one cache server, or of one server of the origin.
-type server struct {
-	Member
-	points         int // its places on the circle
-	out            []*execution
-	share          float64 // part of its points that it answers for, less where it is slower than others
-	slow, heard    float64 // recent time of an execution over the mean of its type, and when that changed
-	probed         float64 // when it last answered a probe in time
-	fails          int     // failures since the last success
-	until          float64 // passed over until then, after failures
-	down           bool    // refused connections since it last answered
-	fresh          float64 // when it is taken to have started; 0: long ago
-	budget, filled float64 // executions that may be sent to it while it is cold, and when that was filled
-	limit, lowered float64 // origin: executions it may hold of this router, and when that was lowered
-}
-
-type point struct {
-	on        *server
-	at        uint32 // its slot
-	rank, far int    // its number among its server's points; Hamming distance to the slot looked up
-}
-
-type operation struct {
-	id              uint64
-	row             *row
-	hash            uint32
-	write           bool
-	spread          float64 // how many of the nearest caches share its key
-	worth           float64 // part of its benefit that an answer may still bring
-	paid            *tenant // whose token it took
-	asks            *server // probed for it, and passed over if that stayed silent
-	asked           float64 // when
-	began, answered bool    // its stream has begun; its final answer is out
-	due, hardStop   float64 // the ends of its promised time and of its client's patience
-	executions      []*execution
-}
-
-type execution struct {
-	of            *operation
-	on            *server
-	n             int
-	sent          float64
-	out, harmless bool // not settled; proved never to have run
-}
-
 // New starts an instance.
 func New(now float64, set Settings, host Host) *Router {
 	r := &Router{host: host, set: set, now: now, rows: map[string]*row{}, tenants: map[string]*tenant{},
-		servers: map[uint64]*server{}, ops: map[uint64]*operation{}, flowAt: now, voice: 1}
+		servers: map[uint64]*server{}, ops: map[uint64]*operation{}, flowAt: now, voice: 1, taken: 1}
 	r.set.Routers = max(1, set.Routers)
 	for _, t := range set.TrafficTypes {
 		if t.PromisedTime <= 0 { // nothing promised: the hard stop is all there is
 			t.PromisedTime = max(t.HardStop, set.Step, 1e-3)
 		}
-		// Until seen, an execution is expected to take a quarter of the promised time: most sites promise
-		// several times the mean work.
+		// Until seen, an execution is to take a quarter of the promised time: most promise several times the work.
 		r.rows[t.Name] = &row{TrafficType: t, lag: t.PromisedTime / 4}
 	}
 	for _, t := range set.Tenants {
@@ -192,8 +133,6 @@
 	return float64(mix(r.set.Seed, r.draws)) / (1 << 32)
 }
 
-// The list of servers.
-
 func (r *Router) watch() {
 	r.asked = r.now
 	r.host.Watch(true)
@@ -234,8 +173,8 @@
 	r.regroup()
 }
 
-// places is the number of points on the circle of the largest cache: with one point the shares follow the
-// gaps between neighbours; 16 bring the largest share to about one and a half times the mean.
+// places is the number of points of the largest cache: with one, shares follow the gaps between neighbours; 16
+// bring the largest share to about one and a half times the mean.
 const places = 16
 
 // regroup sets up the ready caches after a change of membership.
@@ -243,13 +182,10 @@
 	r.ready, r.origins, r.points = nil, nil, nil
 	largest := 0.0
 	for _, s := range r.servers {
-		switch {
-		case s.Mode != InService:
-		case r.isOrigin(s):
+		if s.Mode == InService && r.isOrigin(s) {
 			r.origins = append(r.origins, s)
-		default:
-			r.ready = append(r.ready, s)
-			largest = max(largest, s.Capacity)
+		} else if s.Mode == InService {
+			r.ready, largest = append(r.ready, s), max(largest, s.Capacity)
 		}
 	}
 	byID := func(a, b *server) int { return cmp.Compare(a.ID, b.ID) }
@@ -287,8 +223,8 @@
 	return near
 }
 
-// nearest is the design's pick: of the caches that pass, the one most similar to the key; ties go by a hash
-// of key and server id. A fresh cache answers for as many of its points as its warmth allows.
+// nearest is the design's pick: of the caches that pass, the one most similar to the key; ties go by a hash of key
+// and server id. A fresh cache answers for no more of its points than its warmth allows.
 func (r *Router) nearest(hash uint32, pass func(*server) bool) (best *server) {
 	tie, far, near := uint32(0), 0, []point(nil)
 	for i := range r.points {
@@ -299,7 +235,11 @@
 		if best != nil && p.far > far {
 			break
 		}
-		part := min(p.on.share, r.warmth(p.on))
+		part := r.warmth(p.on)
+		if part < 1 { // nothing tells of its strain, and what the warm ones shed counts too: half of what tips it
+			part *= min(1, r.taken*r.set.TipMultiple/2)
+		}
+		part = min(part, p.on.share)
 		if p.rank > 0 && float64(p.rank+1) > float64(p.on.points)*part || !pass(p.on) {
 			continue
 		}
@@ -335,9 +275,8 @@
 	if w >= 1 || r.set.Fall <= 0 {
 		return false
 	}
-	mean := r.finishing() / float64(max(1, len(r.ready)))
-	// Unseen capacity counts for one execution in the rule's time.
-	rate := r.set.TipMultiple * max(w*mean/2, 1/r.set.Fall/float64(r.set.Routers))
+	mean, unseen := r.finishing()/float64(max(1, len(r.ready))), 1/r.set.Fall/float64(r.set.Routers)
+	rate := r.set.TipMultiple * max(w*mean/2, unseen) // unseen capacity: one execution in the rule's time
 	s.budget, s.filled = min(s.budget+rate*(r.now-s.filled), max(1, rate*r.set.Fall/4)), r.now
 	return s.budget < 1
 }
@@ -347,20 +286,19 @@
 	return r.flow * math.Exp(-(r.now-r.flowAt)/max(1, r.set.WarmWithin))
 }
 
-// sick tells whether a cache is passed over for its failures. After the wait it is tried by one execution
-// at a time until one succeeds.
+// sick tells whether a cache is passed over for its failures; after a wait one execution at a time tries it.
 func (r *Router) sick(s *server) bool {
 	return s.fails >= 3 && (r.now < s.until || len(s.out) > 0)
 }
 
-// choose picks the server for an operation's next execution, or none: the origin, or a cache past what is
-// sick or crowded, else past what is sick, else any that the rules allow.
+// choose picks the server for an operation's next execution, or none: the origin, or of the caches that share the
+// key the one whose turn it is, else the nearest past what is sick or crowded, sick, or against the rules.
 func (r *Router) choose(op *operation, origin bool) *server {
 	if origin {
 		return r.origin(op)
 	}
 	if !r.mayGoOn(op) {
-		return nil // else each lookup that no cache passes ranks them all
+		return nil // else a lookup that no cache passes ranks them all
 	}
 	sick := 0
 	for _, s := range r.ready {
@@ -368,14 +306,13 @@
 			sick++
 		}
 	}
-	// When half or more look bad the doubt falls on the view, but for those that refuse connections.
-	doubt := 2*sick >= len(r.ready)
+	doubt := 2*sick >= len(r.ready) // when half look bad, it falls on the view, but for refused connections
 	may := func(s *server) bool {
 		return s != op.asks && !op.any(func(e *execution) bool { return e.on == s }) && r.mayExecute(op, s) && !r.tips(s)
 	}
 	fit := func(s *server) bool { return may(s) && (!r.sick(s) || doubt && !s.down) }
-	// A key used often is held by several caches, each with its part: it is not shed while one has room. Where the
-	// router asks the origin, a miss is within the origin's bound, and the next cache may do. A jam must not spread.
+	// A key used often is not shed while one of its caches has room; nor, where the router asks the origin and so
+	// bounds its misses, while any has. A jam must not spread.
 	often := op.spread > 1 && op.worth == 1
 	free := func(s *server) bool { return !(often && s.fails == 0 && r.strained(op, s)) && !r.crowded(s) }
 	var sharing []*server
@@ -387,7 +324,7 @@
 		sharing = append(sharing, s)
 		return len(sharing) > turn && free(s)
 	}
-	best := func(s *server) bool { return fit(s) && !r.crowded(s) && (!r.set.Aside || free(s)) }
+	best := func(s *server) bool { return fit(s) && !r.crowded(s) }
 	for _, pass := range []func(*server) bool{shared, best, fit, may} {
 		if s := r.nearest(op.hash, pass); s != nil {
 			return s
@@ -396,9 +333,8 @@
 	return nil
 }
 
-// shares counts a use of a slot and tells how many of the nearest caches are to share its keys: as many as
-// leave each no more of them than a quarter of a cache's mean part. The pass-over alone cannot see a key that
-// hundreds of routers use now and then.
+// shares counts a use of a slot and tells how many of the nearest caches share its keys: as many as leave each a
+// quarter of a cache's mean part of them. The pass-over cannot see a key that hundreds of routers use now and then.
 func (r *Router) shares(slot uint32) float64 {
 	caches := float64(max(1, len(r.ready)))
 	keep := 1 - 1/(4*caches) // lately: some four uses a cache
@@ -410,8 +346,6 @@
 	return math.Ceil(max(1, spread))
 }
 
-// Operations.
-
 // Arrived takes an operation from a client, which gives up after left.
 func (r *Router) Arrived(now float64, id uint64, kind, realm, key string, write bool, left float64) {
 	r.now = now
@@ -429,9 +363,9 @@
 	op := &operation{id: id, row: t, hash: hash, write: write, worth: 1, due: now + t.PromisedTime,
 		hardStop: now + left - r.set.Step, spread: r.shares(hash % slots)}
 	if b := r.tenants[realm]; b != nil {
-		// Routers may be down or draw unlike traffic: the share is of what this one finishes, if that is more.
+		// Routers may be down or draw unlike traffic: the share is of what this one finishes, if that is more. The
+		// depth evens out the chance of a few operations a second; one declined unsent gives back its token.
 		rate := b.quota * max(1/float64(r.set.Routers), r.finishing()/max(1, r.quotas))
-		// Its depth evens out the chance of a few operations a second; what is declined unsent gives back its token.
 		if b.tokens, b.at = min(b.tokens+rate*(now-b.at), max(8, rate)), now; b.tokens >= 1 {
 			b.tokens--
 			op.paid = b
@@ -439,9 +373,8 @@
 			op.worth = r.set.OverBenefit
 		}
 	}
-	// A client gives all its tries the hard stop together. Most, the first tries, come with the same time left,
-	// found by majority vote; on any other the rest of the hard stop is spent. What can no longer be in time
-	// must not crowd out what can.
+	// A client gives all its tries the hard stop together. Most, the first tries, come with the same time left, found
+	// by majority vote; on others the rest is spent. What can no longer be in time must not crowd out what can.
 	if math.Abs(left-t.usual) <= 2*r.set.Step {
 		t.votes++
 	} else if t.votes--; t.votes < 0 {
@@ -454,9 +387,9 @@
 	r.begin(op, r.choose(op, r.set.Aside && write))
 }
 
-// begin makes an operation's first execution, if its server is not strained. Where the router asks the origin
-// and a cache was not heard of for a promised time, it is probed first: hundreds of routers would each lose an
-// operation to a jam. A probe an operation may cost two parts in a hundred of all benefit.
+// begin makes an operation's first execution, if its server is not strained. Where the router asks the origin, a
+// cache not heard of for a promised time is probed first: hundreds of routers would each lose an operation to a
+// jam. A probe an operation may cost two parts in a hundred of all benefit.
 func (r *Router) begin(op *operation, s *server) {
 	switch unsure := op.asks == nil && r.set.Aside && r.set.Probes && r.set.Probing <= 0.02; {
 	case s == nil || r.strained(op, s):
@@ -501,13 +434,12 @@
 	if r.isOrigin(s) {
 		return false // it has a bound of its own
 	}
-	takes, left := r.expect(op, s), op.due-r.now
-	if left <= 0 {
-		left = op.row.PromisedTime
+	takes, bound := r.expect(op, s), op.due-r.now // all that is left: a try a router must not keep a jam alive
+	if bound <= 0 {
+		bound = op.row.PromisedTime
 	}
-	bound := left // where nothing of ours is out: a try a router must not keep a jam alive
 	if len(s.out) > 0 || s.fails > 0 {
-		bound = left * (0.3 + 0.3*r.chance()) // a ramp, as hope for the promised time falls
+		bound *= 0.3 + 0.3*r.chance() // a ramp, as hope for the promised time falls
 	}
 	if len(s.out) > 0 {
 		takes = max(takes, r.now-max(s.heard, s.out[0].sent)) // it may stand still
@@ -517,7 +449,6 @@
 	return takes > bound*math.Sqrt(value/r.value) // what is worth little yields early
 }
 
-// any tells whether one of an operation's executions is like that.
 func (op *operation) any(like func(*execution) bool) bool {
 	return slices.ContainsFunc(op.executions, like)
 }
@@ -545,10 +476,8 @@
 }
 
 func (r *Router) mayDecline(op *operation) bool {
-	if op.row.Effect == Reissuable || op.row.Effect == Numbered && op.row.Group == All {
-		return true
-	}
-	return !op.any(func(e *execution) bool { return !e.harmless })
+	return op.row.Effect == Reissuable || op.row.Effect == Numbered && op.row.Group == All ||
+		!op.any(func(e *execution) bool { return !e.harmless })
 }
 
 func (r *Router) execute(op *operation, s *server) {
@@ -559,11 +488,13 @@
 	op.executions = append(op.executions, e)
 	s.out = append(s.out, e)
 	s.budget--
-	limit := op.hardStop - r.now
-	// It is cut off at the last moment at which one more execution fits into the promised time on a server that
-	// just failed, or while few of these were needed and copies may run. Elsewhere a cut may stop no work, and
-	// where all are slow another would fare no better.
-	latest, cut := op.due-op.row.lag-r.now, s.fails > 0 && r.spare >= 1 || r.set.SecondCopies && r.spare >= 5
+	if e.n == 0 {
+		r.taken += (1 - r.taken) / 32
+	}
+	limit, latest := op.hardStop-r.now, op.due-op.row.lag-r.now
+	// It is cut off while one more execution still fits into the promised time, on a server that just failed, or if
+	// few were needed lately and copies may run. Else a cut may stop no work, and another fares no better.
+	cut := s.fails > 0 && r.spare >= 1 || r.set.SecondCopies && r.spare >= 5
 	if cut && latest > op.row.lag && op.row.Effect == Reissuable && !r.isOrigin(s) {
 		limit = min(limit, latest)
 	}
@@ -595,10 +526,9 @@
 	if len(e.on.out) == 0 && float64(r.set.Routers)*r.set.Holding > 100*r.set.Opening {
 		r.host.Close(e.on.ID)
 	}
-	switch {
-	case final || op.answered:
+	if final || op.answered {
 		r.end(op)
-	default:
+	} else {
 		r.further(op, e, how)
 	}
 }
@@ -652,12 +582,11 @@
 	}
 }
 
-// A message holds three words; shorter ones were seen to cost the same. A word is a cache's id and a byte for
-// its time over its type's mean.
+// A word is a cache's id and a byte for its time over its type's mean; a message of one costs as much as of three.
 const wordSize, messageSize = 5, 15
 
-// tell passes on to all peers what is news of a cache: it took far longer, or shorter, than it was thought to.
-// Of hundreds of routers each sees a cache once in many seconds; together they see it all the time.
+// tell passes on to all peers what is news of a cache: it took far longer, or shorter, than thought. Of hundreds of
+// routers each sees a cache once in many seconds; together they see it all the time.
 func (r *Router) tell(s *server, took, was float64) {
 	if !r.set.Peers || r.isOrigin(s) {
 		return
@@ -688,24 +617,23 @@
 // further goes on with an operation after an execution that brought no answer: a miss at the origin, else at
 // the next server, if the time left exceeds the expected time.
 func (r *Router) further(op *operation, e *execution, how Outcome) {
-	missed := how == NotStored && !r.isOrigin(e.on)
-	if op.any((*execution).isOut) && !missed {
+	missed, others := how == NotStored && !r.isOrigin(e.on), op.any((*execution).isOut)
+	if others && !missed {
 		return
 	}
 	s := r.choose(op, missed || r.isOrigin(e.on))
-	switch {
-	case s != nil && op.hardStop-r.now > r.expect(op, s) && (e.harmless || r.spare >= 1):
+	if s != nil && op.hardStop-r.now > r.expect(op, s) && (e.harmless || r.spare >= 1) {
 		if !e.harmless {
 			r.spare--
 		}
 		r.execute(op, s)
-	case !op.any((*execution).isOut):
+	} else if !others {
 		r.giveUp(op)
 	}
 }
 
-// expect is the time that an execution on s is expected to take. What was seen of s, and of the type, fades
-// within eight promised times: what is shunned is not held slow for ever, and most routers hear more often.
+// expect is the time that an execution on s is expected to take. What was seen of s, and of the type, fades within
+// eight promised times: what is shunned is not held slow for ever.
 func (r *Router) expect(op *operation, s *server) float64 {
 	fade := func(heard float64) float64 { return math.Exp((heard - r.now) / op.row.PromisedTime / 8) }
 	usual := op.row.PromisedTime / 4
@@ -714,11 +642,13 @@
 
 // giveUp sends the final answer of an operation that will get no other, at once.
 func (r *Router) giveUp(op *operation) {
-	if op.paid != nil && len(op.executions) == 0 {
-		op.paid.tokens++
+	if len(op.executions) == 0 {
+		r.taken -= r.taken / 32
+		if op.paid != nil {
+			op.paid.tokens++
+		}
 	}
-	if r.mayDecline(op) {
-		pause := 0.0
+	if pause := 0.0; r.mayDecline(op) {
 		if r.set.RetryAfter {
 			pause = min(op.row.PromisedTime*(0.5+r.chance()), r.set.MaxRetryAfter)
 		}
@@ -766,8 +696,6 @@
 	r.release(func(op *operation) bool { return now-op.asked >= op.row.PromisedTime/8-r.set.Step })
 }
 
-// The origin.
-
 func (r *Router) isOrigin(s *server) bool { return r.set.Aside && s.Kind == r.set.OriginKind }
 
 // origin picks the least busy server of the origin that bears one more, or none.
@@ -781,8 +709,8 @@
 	return best
 }
 
-// bear moves the bound of what the origin is sent: up by one for each full round that it answers in half of
-// the promised time, down by a third, once a round, where it does not.
+// bear moves the bound of what the origin is sent: up by one for each full round that it answers in half of the
+// promised time, down by a third, once a round, where it does not.
 func (r *Router) bear(s *server, how Outcome, lag float64, t *row) {
 	switch inTime := how == Finished && lag < t.PromisedTime/2; {
 	case inTime && float64(len(s.out))+1 >= s.limit/2:
