--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -157,7 +157,6 @@
 		MostExecutions: int(limits.number("mostExecutions")),
 		SecondCopies:   limits.flag("secondCopies"),
 		Cancelling:     limits.flag("cancelling"),
-		RetryAfter:     limits.flag("retryAfter"),
 		MaxRetryAfter:  limits.seconds("maxRetryAfter"),
 		OverBenefit:    n.number("overageBenefit"),
 		Probes:         limits.flag("probes"),
@@ -172,6 +171,9 @@
 		StartCapacity:  rules.number("startCapacity"),
 		WarmWithin:     rules.seconds("warmWithin"),
 	}
+	if !limits.flag("retryAfter") {
+		set.MaxRetryAfter = 0 // none is passed on
+	}
 	at, names := int(family.number("originKind")), n.v.GetArray("kinds")
 	if set.Aside && at >= 0 && at < len(names) {
 		set.OriginKind = string(names[at].GetStringBytes())
--- a/logic/host.go
+++ b/logic/host.go
@@ -115,8 +115,7 @@
 	MostExecutions int
 	SecondCopies   bool
 	Cancelling     bool
-	RetryAfter     bool
-	MaxRetryAfter  float64
+	MaxRetryAfter  float64 // 0: clients are not told when to come back
 	OverBenefit    float64 // what traffic beyond a tenant's share is worth, as a part of the usual
 	AskWithin      float64
 	Probes         bool    // servers may be probed
@@ -135,6 +134,32 @@
 
 // The records that the module keeps.
 
+// Router is one instance of the module.
+type Router struct {
+	host         Host
+	set          Settings
+	now          float64
+	draws        uint64 // numbers drawn by chance
+	rows         map[string]*row
+	tenants      map[string]*tenant
+	quotas       float64            // of all tenants
+	servers      map[uint64]*server // every server that a list has named
+	ready        []*server          // the caches in service, by id
+	origins      []*server          // the origin's servers in service, by id
+	points       []point            // of the ready caches
+	orders       [slots][]point     // the points most similar to a slot, kept until membership changes
+	heat, heated [slots]float64     // uses of a slot lately, and the count of uses when that was reckoned
+	uses, recent float64            // uses of all slots, and those that are lately
+	ops          map[uint64]*operation
+	held         []*operation // that wait for a probe
+	words        []byte       // for the peers
+	voice, spare float64      // messages that may be sent to them; further executions that may be made
+	flow, flowAt float64      // executions that caches finished a second, and when that was reckoned
+	taken        float64      // part of the operations of late that caches finished
+	value        float64      // benefit for a second's execution, the mean of what was judged lately
+	asked, wait  float64      // when the list was last asked for, 0 if answered; the wait after an error
+}
+
 // row is the table of what differs by traffic type.
 type row struct {
 	TrafficType
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1,7 +1,7 @@
-// Package logic is bendtrestle's decision module. A router process makes one Router with New and then calls one
-// method for each thing that happens: Listed, Arrived, Began, Settled, Left, Probed, Told, Wake. The module answers by
-// calling the Host it was handed, before the method returns. Host and the plain types, the records of servers and
-// operations among them, are in host.go. Time is in seconds; equal calls lead to equal actions.
+// Package logic is bendtrestle's decision module. A router process makes one Router with New and then calls
+// one method for each thing that happens: Listed, Arrived, Began, Settled, Left, Probed, Told, Wake. It acts
+// by calling the Host it was handed, before the method returns. Host and all types, the kept records among
+// them, are in host.go. Time is in seconds; equal calls lead to equal actions.
 package logic
 
 import (
@@ -56,7 +56,7 @@
 	return &circle
 })
 
-// distance counts the bits in which two vectors differ, up to the limit: most points are far, as few words tell.
+// distance counts the bits in which two vectors differ, up to the limit: few words tell that a point is far.
 func distance(a, b *vector, limit int) (bitsApart int) {
 	for w := range a {
 		if bitsApart += bits.OnesCount64(a[w] ^ b[w]); w%8 == 7 && bitsApart > limit {
@@ -66,7 +66,7 @@
 	return bitsApart
 }
 
-// mix hashes a number. crc32 alone is affine, two inputs compare alike under any seed: so its bits are stirred.
+// mix hashes a number. crc32 alone is affine, inputs compare alike under any seed: so its bits are stirred.
 func mix(seed uint32, x uint64) uint32 {
 	var b [8]byte
 	binary.LittleEndian.PutUint64(b[:], x)
@@ -79,41 +79,13 @@
 	return h ^ h>>16
 }
 
-// Router is one instance of the module.
-type Router struct {
-	host         Host
-	set          Settings
-	now          float64
-	draws        uint64 // numbers drawn by chance
-	rows         map[string]*row
-	tenants      map[string]*tenant
-	quotas       float64            // of all tenants
-	servers      map[uint64]*server // every server that a list has named
-	ready        []*server          // the caches in service, by id
-	origins      []*server          // the origin's servers in service, by id
-	points       []point            // of the ready caches
-	orders       [slots][]point     // the points most similar to a slot, kept until membership changes
-	heat, heated [slots]float64     // uses of a slot lately, and the count of uses when that was reckoned
-	uses, recent float64            // uses of all slots, and those that are lately
-	ops          map[uint64]*operation
-	held         []*operation // that wait for a probe
-	words        []byte       // for the peers
-	voice, spare float64      // messages that may be sent to them; further executions that may be made
-	flow, flowAt float64      // executions that caches finished a second, and when that was reckoned
-	taken        float64      // part of the operations of late that were executed at all
-	value        float64      // benefit for a second's execution, the mean of what was judged lately
-	asked, wait  float64      // when the list was last asked for, 0 if answered; the wait after an error
-}
-
 // New starts an instance.
 func New(now float64, set Settings, host Host) *Router {
 	r := &Router{host: host, set: set, now: now, rows: map[string]*row{}, tenants: map[string]*tenant{},
 		servers: map[uint64]*server{}, ops: map[uint64]*operation{}, flowAt: now, voice: 1, taken: 1}
 	r.set.Routers = max(1, set.Routers)
 	for _, t := range set.TrafficTypes {
-		if t.PromisedTime <= 0 { // nothing promised: the hard stop is all there is
-			t.PromisedTime = max(t.HardStop, set.Step, 1e-3)
-		}
+		t.PromisedTime = cmp.Or(max(0, t.PromisedTime), max(t.HardStop, set.Step, 1e-3)) // or all there is
 		// Until seen, an execution is to take a quarter of the promised time: most promise several times the work.
 		r.rows[t.Name] = &row{TrafficType: t, lag: t.PromisedTime / 4}
 	}
@@ -173,9 +145,7 @@
 	r.regroup()
 }
 
-// places is the number of points of the largest cache: with one, shares follow the gaps between neighbours; 16
-// bring the largest share to about one and a half times the mean.
-const places = 16
+const places = 16 // points of the largest cache: one leaves shares to the gaps, 16 reach 1.5 times the mean
 
 // regroup sets up the ready caches after a change of membership.
 func (r *Router) regroup() {
@@ -213,7 +183,7 @@
 		if p.far = distance(&circle[slot], &circle[p.at], limit); p.far > limit {
 			continue
 		}
-		i, _ := slices.BinarySearchFunc(near, p.far+1, func(q point, far int) int { return cmp.Compare(q.far, far) })
+		i, _ := slices.BinarySearchFunc(near, p.far+1, func(q point, far int) int { return q.far - far })
 		near = slices.Insert(near, i, p)
 		if near = near[:min(n, len(near))]; len(near) == n {
 			limit = near[n-1].far - 1
@@ -223,8 +193,8 @@
 	return near
 }
 
-// nearest is the design's pick: of the caches that pass, the one most similar to the key; ties go by a hash of key
-// and server id. A fresh cache answers for no more of its points than its warmth allows.
+// nearest is the design's pick: of the caches that pass, the one most similar to the key; ties go by a hash
+// of key and server id. A fresh cache answers for no more of its points than its warmth allows.
 func (r *Router) nearest(hash uint32, pass func(*server) bool) (best *server) {
 	tie, far, near := uint32(0), 0, []point(nil)
 	for i := range r.points {
@@ -235,12 +205,11 @@
 		if best != nil && p.far > far {
 			break
 		}
-		part := r.warmth(p.on)
+		part, points := r.warmth(p.on), float64(p.on.points)
 		if part < 1 { // nothing tells of its strain, and what the warm ones shed counts too: half of what tips it
-			part *= min(1, r.taken*r.set.TipMultiple/2)
+			part = math.Floor(points*part*min(1, r.taken*r.set.TipMultiple/2)) / points
 		}
-		part = min(part, p.on.share)
-		if p.rank > 0 && float64(p.rank+1) > float64(p.on.points)*part || !pass(p.on) {
+		if p.rank > 0 && float64(p.rank) >= math.Ceil(points*min(part, p.on.share)) || !pass(p.on) {
 			continue
 		}
 		if h := mix(hash, p.on.ID); best == nil || h < tie {
@@ -291,8 +260,8 @@
 	return s.fails >= 3 && (r.now < s.until || len(s.out) > 0)
 }
 
-// choose picks the server for an operation's next execution, or none: the origin, or of the caches that share the
-// key the one whose turn it is, else the nearest past what is sick or crowded, sick, or against the rules.
+// choose picks the server for an operation's next execution, or none: the origin, or of the caches that share
+// the key the one whose turn it is, else the nearest past the sick or crowded, the sick, what rules forbid.
 func (r *Router) choose(op *operation, origin bool) *server {
 	if origin {
 		return r.origin(op)
@@ -300,19 +269,13 @@
 	if !r.mayGoOn(op) {
 		return nil // else a lookup that no cache passes ranks them all
 	}
-	sick := 0
-	for _, s := range r.ready {
-		if r.sick(s) {
-			sick++
-		}
-	}
-	doubt := 2*sick >= len(r.ready) // when half look bad, it falls on the view, but for refused connections
 	may := func(s *server) bool {
-		return s != op.asks && !op.any(func(e *execution) bool { return e.on == s }) && r.mayExecute(op, s) && !r.tips(s)
+		used := s == op.asks || op.any(func(e *execution) bool { return e.on == s })
+		return !used && r.mayExecute(op, s) && !r.tips(s)
 	}
-	fit := func(s *server) bool { return may(s) && (!r.sick(s) || doubt && !s.down) }
-	// A key used often is not shed while one of its caches has room; nor, where the router asks the origin and so
-	// bounds its misses, while any has. A jam must not spread.
+	fit := func(s *server) bool { return may(s) && !r.sick(s) }
+	// A key used often is not shed while one of its caches has room; nor, where the router asks the origin and
+	// so bounds its misses, while any has. A jam must not spread.
 	often := op.spread > 1 && op.worth == 1
 	free := func(s *server) bool { return !(often && s.fails == 0 && r.strained(op, s)) && !r.crowded(s) }
 	var sharing []*server
@@ -333,8 +296,8 @@
 	return nil
 }
 
-// shares counts a use of a slot and tells how many of the nearest caches share its keys: as many as leave each a
-// quarter of a cache's mean part of them. The pass-over cannot see a key that hundreds of routers use now and then.
+// shares counts a use of a slot and tells how many of the nearest caches share its keys: each gets a quarter
+// of a cache's mean part. The pass-over cannot see a key that hundreds of routers use now and then.
 func (r *Router) shares(slot uint32) float64 {
 	caches := float64(max(1, len(r.ready)))
 	keep := 1 - 1/(4*caches) // lately: some four uses a cache
@@ -373,7 +336,7 @@
 			op.worth = r.set.OverBenefit
 		}
 	}
-	// A client gives all its tries the hard stop together. Most, the first tries, come with the same time left, found
+	// A client gives all its tries the hard stop together. Most, the first, come with the same time left, found
 	// by majority vote; on others the rest is spent. What can no longer be in time must not crowd out what can.
 	if math.Abs(left-t.usual) <= 2*r.set.Step {
 		t.votes++
@@ -387,9 +350,9 @@
 	r.begin(op, r.choose(op, r.set.Aside && write))
 }
 
-// begin makes an operation's first execution, if its server is not strained. Where the router asks the origin, a
-// cache not heard of for a promised time is probed first: hundreds of routers would each lose an operation to a
-// jam. A probe an operation may cost two parts in a hundred of all benefit.
+// begin makes the first execution, if its server is not strained. Where the router asks the origin, a cache
+// not heard of for a promised time is probed first: hundreds of routers would each lose an operation to a jam.
+// A probe an operation may cost two parts in a hundred of all benefit.
 func (r *Router) begin(op *operation, s *server) {
 	switch unsure := op.asks == nil && r.set.Aside && r.set.Probes && r.set.Probing <= 0.02; {
 	case s == nil || r.strained(op, s):
@@ -415,14 +378,12 @@
 
 // release goes on with operations held for a probe: at the cache that answered it, else at the next.
 func (r *Router) release(which func(*operation) bool) {
-	for _, op := range slices.Clone(r.held) {
-		if !which(op) {
-			continue
-		}
-		r.held = slices.DeleteFunc(r.held, func(o *operation) bool { return o == op })
-		if s := op.asks; s.probed == r.now && r.mayExecute(op, s) && !r.tips(s) {
+	held := slices.Clone(r.held)
+	r.held = slices.DeleteFunc(r.held, which)
+	for _, op := range held {
+		if s := op.asks; which(op) && s.probed == r.now && r.mayExecute(op, s) && !r.tips(s) {
 			r.execute(op, s)
-		} else if !op.answered {
+		} else if which(op) && !op.answered {
 			r.begin(op, r.choose(op, false))
 		}
 	}
@@ -488,13 +449,10 @@
 	op.executions = append(op.executions, e)
 	s.out = append(s.out, e)
 	s.budget--
-	if e.n == 0 {
-		r.taken += (1 - r.taken) / 32
-	}
 	limit, latest := op.hardStop-r.now, op.due-op.row.lag-r.now
-	// It is cut off while one more execution still fits into the promised time, on a server that just failed, or if
-	// few were needed lately and copies may run. Else a cut may stop no work, and another fares no better.
-	cut := s.fails > 0 && r.spare >= 1 || r.set.SecondCopies && r.spare >= 5
+	// It is cut off while one more execution still fits into the promised time, on a server that just failed, or
+	// if few were needed lately and copies may run. Else a cut may stop no work, and another fares no better.
+	cut := s.fails > 0 && r.spare >= 1 || r.set.Aside && r.set.SecondCopies && r.spare >= 5
 	if cut && latest > op.row.lag && op.row.Effect == Reissuable && !r.isOrigin(s) {
 		limit = min(limit, latest)
 	}
@@ -544,16 +502,18 @@
 		s.fails, s.down = 0, false
 		if !r.isOrigin(s) {
 			r.flow, r.flowAt = r.finishing()+1/max(1, r.set.WarmWithin), r.now
+			r.taken += (1 - r.taken) / 16
 		}
 	case Error, TurnedAway, NoConnection, ConnectionLost, NoAnswer, Unknown:
 		if how == NoAnswer && lag < t.lag {
 			return // it had no time to answer
 		}
 		s.fails++
+		r.taken -= r.taken / 16
 		if s.down = s.down || how == NoConnection; s.down {
 			s.fails = max(s.fails, 3)
 		}
-		// Passed over for the promised time at first, doubled with each failure up to the warm-up's length.
+		// Passed over for the promised time at first, doubled with each failure up to the warm-up.
 		s.until = r.now + min(t.PromisedTime*math.Pow(2, float64(s.fails-3)), max(t.PromisedTime, r.set.WarmWithin))
 	default:
 		return
@@ -582,11 +542,11 @@
 	}
 }
 
-// A word is a cache's id and a byte for its time over its type's mean; a message of one costs as much as of three.
+// A word is a cache's id and a byte for its time over its type's mean; one costs as much to send as three.
 const wordSize, messageSize = 5, 15
 
-// tell passes on to all peers what is news of a cache: it took far longer, or shorter, than thought. Of hundreds of
-// routers each sees a cache once in many seconds; together they see it all the time.
+// tell passes on to all peers what is news of a cache: it took far longer, or shorter, than thought. Of
+// hundreds of routers each sees a cache once in many seconds; together they see it all the time.
 func (r *Router) tell(s *server, took, was float64) {
 	if !r.set.Peers || r.isOrigin(s) {
 		return
@@ -614,8 +574,7 @@
 	}
 }
 
-// further goes on with an operation after an execution that brought no answer: a miss at the origin, else at
-// the next server, if the time left exceeds the expected time.
+// further goes on after an execution without an answer, a miss at the origin, if the time left is enough.
 func (r *Router) further(op *operation, e *execution, how Outcome) {
 	missed, others := how == NotStored && !r.isOrigin(e.on), op.any((*execution).isOut)
 	if others && !missed {
@@ -632,8 +591,8 @@
 	}
 }
 
-// expect is the time that an execution on s is expected to take. What was seen of s, and of the type, fades within
-// eight promised times: what is shunned is not held slow for ever.
+// expect is the time that an execution on s is expected to take. What was seen of s, and of the type, fades
+// within eight promised times: what is shunned is not held slow for ever.
 func (r *Router) expect(op *operation, s *server) float64 {
 	fade := func(heard float64) float64 { return math.Exp((heard - r.now) / op.row.PromisedTime / 8) }
 	usual := op.row.PromisedTime / 4
@@ -643,15 +602,12 @@
 // giveUp sends the final answer of an operation that will get no other, at once.
 func (r *Router) giveUp(op *operation) {
 	if len(op.executions) == 0 {
-		r.taken -= r.taken / 32
+		r.taken -= r.taken / 16
 		if op.paid != nil {
 			op.paid.tokens++
 		}
 	}
-	if pause := 0.0; r.mayDecline(op) {
-		if r.set.RetryAfter {
-			pause = min(op.row.PromisedTime*(0.5+r.chance()), r.set.MaxRetryAfter)
-		}
+	if pause := min(op.row.PromisedTime*(0.5+r.chance()), r.set.MaxRetryAfter); r.mayDecline(op) {
 		r.host.Decline(op.id, pause)
 	} else {
 		r.host.Terminate(op.id)
@@ -686,7 +642,7 @@
 	}
 }
 
-// Wake takes a timer: a probe stayed silent; or the list is asked for again, after an error or if nothing came.
+// Wake takes a timer: a probe stayed silent; the list is asked for again, after an error or if nothing came.
 func (r *Router) Wake(now float64, name string) {
 	r.now = now
 	overdue := name == "watch" && r.asked > 0 && now-r.asked >= max(1, r.set.AskWithin/2)-r.set.Step
@@ -709,8 +665,8 @@
 	return best
 }
 
-// bear moves the bound of what the origin is sent: up by one for each full round that it answers in half of the
-// promised time, down by a third, once a round, where it does not.
+// bear moves the bound of what the origin is sent: up by one for each full round that it answers in half of
+// the promised time, down by a third, once a round, where it does not.
 func (r *Router) bear(s *server, how Outcome, lag float64, t *row) {
 	switch inTime := how == Finished && lag < t.PromisedTime/2; {
 	case inTime && float64(len(s.out))+1 >= s.limit/2:
