--- a/logic/logic.go
+++ b/logic/logic.go
@@ -351,17 +351,19 @@
 }
 
 // begin makes the first execution, if its server is not strained. Where the router asks the origin, a cache
-// not heard of for a promised time is probed first: hundreds of routers would each lose an operation to a jam.
+// not heard of for a promised time is probed first: hundreds of routers would each lose one to a jam.
 // A probe an operation may cost two parts in a hundred of all benefit.
 func (r *Router) begin(op *operation, s *server) {
-	switch unsure := op.asks == nil && r.set.Aside && r.set.Probes && r.set.Probing <= 0.02; {
+	hold := op.row.PromisedTime / 8 // time enough remains for another cache, or the origin
+	unsure := r.set.Aside && r.set.Probes && r.set.Probing <= 0.02 && op.asks == nil
+	switch {
 	case s == nil || r.strained(op, s):
 		r.giveUp(op)
-	case unsure && !r.isOrigin(s) && r.now-max(s.heard, s.probed) > op.row.PromisedTime:
+	case unsure && !r.isOrigin(s) && r.now-max(s.heard, s.probed) > 8*hold && op.hardStop-r.now > 2*hold:
 		op.asks, op.asked = s, r.now
 		r.held = append(r.held, op)
 		r.host.Probe(s.ID)
-		r.host.SetTimer(op.row.PromisedTime/8, "held") // time enough remains for another cache, or the origin
+		r.host.SetTimer(hold, "held")
 	default:
 		r.execute(op, s)
 	}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -509,6 +509,8 @@
 			t.Errorf("%s: %v, %d executions, %d held", how, did.did, len(op.executions), len(r.held))
 		}
 	}
+	r.Arrived(9.06, 7, "view", "", "other", false, 0.05) // a late try, gone before a probe would end
+	expect(t, "held with hardly any time left", len(r.held), 0)
 	r, did, _ = start()
 	r.Left(9.01, 5)
 	r.Probed(9.02, asked, Finished)
