Tell peers of slow caches only where the router asks the origin

All routers shed and move keys on the same words at once; where caches fetch, what moves misses at the ledger, and clients there come back at once. Change: words are sent only where the router asks the origin.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -548,9 +548,10 @@
 const wordSize, messageSize = 5, 15
 
 // tell passes on to all peers what is news of a cache: it took far longer, or shorter, than thought. Of
-// hundreds of routers each sees a cache once in many seconds; together they see it all the time.
+// hundreds of routers each sees a cache once in many seconds; together they see it all the time. Where caches
+// fetch, what all of them move at once misses at the origin, and clients ask again: no word is sent there.
 func (r *Router) tell(s *server, took, was float64) {
-	if !r.set.Peers || r.isOrigin(s) {
+	if !r.set.Peers || !r.set.Aside || r.isOrigin(s) {
 		return
 	}
 	r.words = append(binary.LittleEndian.AppendUint32(r.words, uint32(s.ID)), byte(min(took*32, 255)))
