Start a tenant's bucket with a second of its share, or one operation

Cause: with a few routers, buckets that start with one operation lose a second of each share at every restart.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -90,7 +90,7 @@
 		r.rows[t.Name] = &row{TrafficType: t, lag: t.PromisedTime / 4}
 	}
 	for _, t := range set.Tenants {
-		r.tenants[t.Name] = &tenant{quota: max(0, t.Quota), tokens: 1, at: now}
+		r.tenants[t.Name] = &tenant{quota: max(0, t.Quota), tokens: max(1, t.Quota/float64(r.set.Routers)), at: now}
 		r.quotas += max(0, t.Quota)
 	}
 	if set.OnRequest {
