--- a/logic/logic.go
+++ b/logic/logic.go
@@ -298,7 +298,7 @@
 
 // shares counts a use of a slot and tells how many of the nearest caches share its keys: each gets a quarter
 // of a cache's mean part. The pass-over cannot see a key that hundreds of routers use now and then.
-func (r *Router) shares(slot uint32) float64 {
+func (r *Router) shares(slot uint32, t *row) float64 {
 	caches := float64(max(1, len(r.ready)))
 	keep := 1 - 1/(4*caches) // lately: some four uses a cache
 	lately := r.heat[slot] * math.Pow(keep, r.uses-r.heated[slot])
@@ -306,7 +306,7 @@
 	r.uses++
 	r.recent = r.recent*keep + 1
 	r.heat[slot], r.heated[slot] = lately*keep+1, r.uses
-	return math.Ceil(max(1, spread))
+	return math.Ceil(max(1, spread*min(1, 4*t.lag/t.PromisedTime))) // less in calm, for each copy is a miss
 }
 
 // Arrived takes an operation from a client, which gives up after left.
@@ -324,7 +324,7 @@
 	}
 	// The answer leaves a step before the client gives up, since it takes effect with a batch.
 	op := &operation{id: id, row: t, hash: hash, write: write, worth: 1, due: now + t.PromisedTime,
-		hardStop: now + left - r.set.Step, spread: r.shares(hash % slots)}
+		hardStop: now + left - r.set.Step, spread: r.shares(hash%slots, t)}
 	if b := r.tenants[realm]; b != nil {
 		// Routers may be down or draw unlike traffic: the share is of what this one finishes, if that is more. The
 		// depth evens out the chance of a few operations a second; one declined unsent gives back its token.
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -413,17 +413,17 @@
 // One key can ask more than a cache bears, and no router of hundreds sees it in flight (big days at full size).
 func TestKeyUsedOftenIsSharedByTheNearest(t *testing.T) {
 	r, _ := fleet(40, nil)
-	expect(t, "first use", r.shares(5), 1.0)
+	expect(t, "first use", r.shares(5, r.rows["view"]), 1.0)
 	for i := range uint32(200) {
-		r.shares(100 + i)
+		r.shares(100+i, r.rows["view"])
 	}
-	expect(t, "second use", r.shares(5), 1.0)
+	expect(t, "second use", r.shares(5, r.rows["view"]), 1.0)
 	for i := range uint32(100) {
-		r.shares(5)
-		r.shares(300 + i)
+		r.shares(5, r.rows["view"])
+		r.shares(300+i, r.rows["view"])
 	}
 	op, picked := begun(r, "view", nil, false, true), map[uint64]bool{}
-	if op.spread = r.shares(5); op.spread < 20 {
+	if op.spread = r.shares(5, r.rows["view"]); op.spread < 20 {
 		t.Errorf("a third of all uses shared by %v caches", op.spread)
 	}
 	op.spread = 3
