Probe a strained cache before shedding there, while most operations finish

A router's own times told of strain that had passed. Told from a full fleet by the few late answers. Change: where probes are used, a strained cache is asked too, if the operation is within its share and three of four finish of late, so that what waits mostly ends in an answer.

--- a/logic/helpers_test.go
+++ b/logic/helpers_test.go
@@ -64,6 +64,16 @@
 	return op
 }
 
+// slice is how many of 2000 keys a cache answers for.
+func (r *Router) slice(s *server) (n int) {
+	for key := range uint32(2000) {
+		if r.nearest(stir(key), func(*server) bool { return true }) == s {
+			n++
+		}
+	}
+	return n
+}
+
 func expect(t *testing.T, what string, got, want any) {
 	t.Helper()
 	if got != want {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -352,18 +352,20 @@
 
 // begin makes the first execution, if its server is not strained. Where the router asks the origin, a cache
 // not heard of for a promised time is probed first: hundreds of routers would each lose one to a jam.
-// A probe an operation may cost two parts in a hundred of all benefit.
+// So is a strained one, while most finish. A probe an operation may cost two parts in a hundred of benefit.
 func (r *Router) begin(op *operation, s *server) {
 	hold := op.row.PromisedTime / 8 // time enough remains for another cache, or the origin
-	unsure := r.set.Aside && r.set.Probes && r.set.Probing <= 0.02 && op.asks == nil
+	ask := r.set.Aside && r.set.Probes && r.set.Probing <= 0.02 && op.asks == nil && op.hardStop-r.now > 2*hold
+	strained := s == nil || r.strained(op, s)
+	sure := strained && (op.worth < 1 || r.taken < 0.75) || !strained && r.now-max(s.heard, s.probed) <= 8*hold
 	switch {
-	case s == nil || r.strained(op, s):
-		r.giveUp(op)
-	case unsure && !r.isOrigin(s) && r.now-max(s.heard, s.probed) > 8*hold && op.hardStop-r.now > 2*hold:
+	case ask && s != nil && !sure && !r.isOrigin(s):
 		op.asks, op.asked = s, r.now
 		r.held = append(r.held, op)
 		r.host.Probe(s.ID)
 		r.host.SetTimer(hold, "held")
+	case strained:
+		r.giveUp(op)
 	default:
 		r.execute(op, s)
 	}
@@ -493,7 +495,6 @@
 	}
 }
 
-// learn keeps what an outcome says of its server.
 func (r *Router) learn(e *execution, how Outcome, lag float64) {
 	s, t := e.on, e.of.row
 	switch how {
@@ -547,9 +548,8 @@
 // A word is a cache's id and a byte for its time over its type's mean; one costs as much to send as three.
 const wordSize, messageSize = 5, 15
 
-// tell passes on to all peers what is news of a cache: it took far longer, or shorter, than thought. Of
-// hundreds of routers each sees a cache once in many seconds; together they see it all the time. Where caches
-// fetch, what all of them move at once misses at the origin, and clients ask again: no word is sent there.
+// tell passes on to all peers what is news of a cache: it took far longer, or shorter, than thought. Together
+// they see it all the time. Where caches fetch, what all move at once misses at the origin: no word there.
 func (r *Router) tell(s *server, took, was float64) {
 	if !r.set.Peers || !r.set.Aside || r.isOrigin(s) {
 		return
@@ -606,9 +606,9 @@
 func (r *Router) giveUp(op *operation) {
 	if len(op.executions) == 0 {
 		r.taken -= r.taken / 16
-		if op.paid != nil {
-			op.paid.tokens++
-		}
+	}
+	if op.paid != nil && len(op.executions) == 0 {
+		op.paid.tokens++
 	}
 	if pause := min(op.row.PromisedTime*(0.5+r.chance()), r.set.MaxRetryAfter); r.mayDecline(op) {
 		r.host.Decline(op.id, pause)
