Take all that the warm caches shed off a fresh cache, and start a router cautious

Routers restarted in the overload took all to be calm, and sparing only beyond half of what tips it left no room for uneven keys.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -82,7 +82,7 @@
 // New starts an instance.
 func New(now float64, set Settings, host Host) *Router {
 	r := &Router{host: host, set: set, now: now, rows: map[string]*row{}, tenants: map[string]*tenant{},
-		servers: map[uint64]*server{}, ops: map[uint64]*operation{}, flowAt: now, voice: 1, taken: 1}
+		servers: map[uint64]*server{}, ops: map[uint64]*operation{}, flowAt: now, voice: 1, taken: 0.5}
 	r.set.Routers = max(1, set.Routers)
 	for _, t := range set.TrafficTypes {
 		t.PromisedTime = cmp.Or(max(0, t.PromisedTime), max(t.HardStop, set.Step, 1e-3)) // or all there is
@@ -206,8 +206,8 @@
 			break
 		}
 		part, points := r.warmth(p.on), float64(p.on.points)
-		if part < 1 { // nothing tells of its strain, and what the warm ones shed counts too: half of what tips it
-			part = math.Floor(points*part*min(1, r.taken*r.set.TipMultiple/2)) / points
+		if part < 1 { // nothing tells of its strain: it takes no part of what the warm ones shed (rule 4)
+			part = math.Floor(points*part*r.taken) / points
 		}
 		if p.rank > 0 && float64(p.rank) >= math.Ceil(points*min(part, p.on.share)) || !pass(p.on) {
 			continue
