Give a fresh cache a slice of the keys instead of some of its points

A slice of one point follows its gap, up to several times the mean. Change: all points count, for a part of the keys by a hash of key and server id.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -205,11 +205,11 @@
 		if best != nil && p.far > far {
 			break
 		}
-		part, points := r.warmth(p.on), float64(p.on.points)
-		if part < 1 { // nothing tells of its strain: it takes no part of what the warm ones shed (rule 4)
-			part = math.Floor(points*part*r.taken) / points
-		}
-		if p.rank > 0 && float64(p.rank) >= math.Ceil(points*min(part, p.on.share)) || !pass(p.on) {
+		// A fresh cache gets a slice of the keys; one point's would follow its gap. Nothing tells of its strain: it
+		// takes no part of what the warm ones shed (rule 4).
+		w, part := r.warmth(p.on), float64(mix(hash, p.on.ID))/(1<<32)
+		slow := float64(p.rank) >= math.Ceil(float64(p.on.points)*p.on.share)
+		if w < 1 && part >= w*r.taken || slow || !pass(p.on) {
 			continue
 		}
 		if h := mix(hash, p.on.ID); best == nil || h < tie {
