Take a new configuration at SIGHUP and move the watch to the list service it names

Checked: service.go's Run asked for SIGTERM and SIGINT alone, so SIGHUP had its default effect; the file was read once, in main. Ruled out: the loss of operations has no other cause, for all five were on the node that ended, at that moment. Now SIGHUP rereads the file through config, off the loop; a fault is logged by its key and the old values stay; the watch moves once the new list service has told a whole list; an older list than the last is waited out; other changes are logged by key.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"reflect"
+	"slices"
 	"strconv"
 
 	"bendtrestle/internal/discovery"
@@ -25,10 +27,10 @@
 	ConnectTimeout          float64
 	ConnIdle                float64
 	PerConnection           int
-	Open                    int // operations, at most
+	OpenCap                 int // operations that the settings allow, 0: any number
 
 	// What follows from the limits.
-	Clients, Spare, Caches, Held int
+	Clients, Spare, Caches, Open, Held int
 }
 
 // Read reads the file that GW_CONFIG names. What the file lacks may come from the variables beside it.
@@ -89,22 +91,44 @@
 	c.ConnectTimeout = positive(bounds, "connectTimeout", 1e9) / 1e9
 	c.ConnIdle = positive(bounds, "connIdle", 60e9) / 1e9
 	c.PerConnection = max(1, int(positive(bounds, "streamsPerConn", 1)))
-	c.derive(int(bounds.Count("openCap")))
+	c.OpenCap = int(bounds.Count("openCap"))
+	c.derive()
 	return c, o.Err()
 }
 
+// Restart names the keys in which a configuration differs from the present one, but for those that are taken while
+// the router serves (discovery) and those that only a start uses (known, seed).
+func (c Config) Restart(next Config) (keys []string) {
+	now, then := c.Settings, next.Settings
+	then.Seed = now.Seed
+	for key, same := range map[string]bool{
+		"name": c.Name == next.Name, "listen": c.Listen == next.Listen,
+		"limits":      c.Cores == next.Cores && c.Memory == next.Memory && c.Sockets == next.Sockets,
+		"peer_listen": c.PeerListen == next.PeerListen, "peers_all": c.PeersAll == next.PeersAll,
+		"peers": slices.Equal(c.Peers, next.Peers),
+		"settings": reflect.DeepEqual(now, then) && c.ConnectTimeout == next.ConnectTimeout &&
+			c.ConnIdle == next.ConnIdle && c.PerConnection == next.PerConnection && c.OpenCap == next.OpenCap,
+	} {
+		if !same {
+			keys = append(keys, key)
+		}
+	}
+	slices.Sort(keys)
+	return keys
+}
+
 // derive splits the limits. Of the descriptors 32 are for the list service, standard files, the loop and what is
 // about to be closed; of the others half go to clients, a sixteenth of that to clients that are declined, three
 // eighths to caches. Open operations are bounded so that values of
 // the protocol's greatest length, two copies each, fill a quarter of the memory; what waits to be written an eighth.
-func (c *Config) derive(openCap int) {
+func (c *Config) derive() {
 	sockets := c.Sockets - 32
 	c.Clients = sockets / 2
 	c.Spare = max(1, c.Clients/16)
 	c.Caches = sockets * 3 / 8
 	c.Open = c.Memory / 4 / (2 * 64 << 10)
-	if openCap > 0 {
-		c.Open = min(c.Open, openCap)
+	if c.OpenCap > 0 {
+		c.Open = min(c.Open, c.OpenCap)
 	}
 	c.Held = c.Memory / 8
 }
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -37,7 +37,7 @@
 // Few descriptors must do as well: 20 are open without any connection.
 func TestDescriptorsAreEnough(t *testing.T) {
 	for c := (Config{Sockets: 64, Memory: 64 << 20}); c.Sockets < 5000; c.Sockets += 7 {
-		c.derive(0)
+		c.derive()
 		if c.Clients < 1 || c.Caches < 1 || c.Clients+c.Spare+c.Caches+20 >= c.Sockets {
 			t.Errorf("of %d: %d for clients, %d to decline, %d for caches", c.Sockets, c.Clients, c.Spare, c.Caches)
 		}
@@ -81,3 +81,22 @@
 		t.Errorf("without a file: %v", err)
 	}
 }
+
+// What needs a restart is told by its key; the list service's address, and what only a start uses, does not.
+func TestWhatNeedsARestart(t *testing.T) {
+	now, _ := Parse([]byte(whole), env)
+	for _, c := range []struct{ old, new, want string }{
+		{`8c1f30d27a5be964`, `7`, ""},
+		{`127.2.0.1:8500`, `127.2.0.2:8500`, ""},
+		{`"generation":41`, `"generation":42`, ""},
+		{`"cores":2.5`, `"cores":2`, "limits"},
+		{`"openCap":33`, `"openCap":34`, "settings"},
+		{`"name":"t"`, `"name":"u"`, "settings"},
+		{`127.0.0.4`, `127.0.0.5`, "listen peer_listen"},
+	} {
+		next, err := Parse([]byte(strings.ReplaceAll(whole, c.old, c.new)), env)
+		if got := strings.Join(now.Restart(next), " "); err != nil || got != c.want {
+			t.Errorf("%s: a restart is needed for %q, want %q, %v", c.new, got, c.want, err)
+		}
+	}
+}
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -74,7 +74,7 @@
 		}
 	}))
 	news, failures := make(chan List, 10), make(chan error, 10)
-	go Watch(ctx, server.Listener.Addr().String(), func(l List) { news <- l }, func(err error) { failures <- err },
+	go Watch(ctx, server.Listener.Addr().String(), 0, func(l List) { news <- l }, func(err error) { failures <- err },
 		zerolog.Nop())
 	for i, want := range []string{"", "from=41&hold_ms=2000", "from=41&hold_ms=2000", "from=43&hold_ms=2000"} {
 		select {
@@ -99,3 +99,24 @@
 	server.CloseClientConnections()
 	server.Close()
 }
+
+// A service that lags behind the one before it must not take back a drain: its list is waited for.
+func TestOlderListIsNotTaken(t *testing.T) {
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	n := 0
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if n++; r.URL.RawQuery != "" {
+			<-r.Context().Done()
+		}
+		fmt.Fprintf(w, `{"generation":%d,"reset":true,"instances":[]}`, 40+n)
+	}))
+	news := make(chan List, 10)
+	go Watch(ctx, server.Listener.Addr().String(), 43, func(l List) { news <- l }, func(error) {}, zerolog.Nop())
+	if l := <-news; l.Generation != 43 {
+		t.Errorf("list %d was taken, though 43 was known", l.Generation)
+	}
+	stop()
+	server.CloseClientConnections()
+	server.Close()
+}
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -17,12 +17,14 @@
 	patience  = 500 * time.Millisecond // beyond that an answer from the same machine is not coming
 	connected = 500 * time.Millisecond // to an agent on the same machine
 	pause     = 100 * time.Millisecond // before a failed call is made anew: a watch goes on within 200 ms
+	catchUp   = 2 * time.Second        // a service that was moved to has the last list by then, or counts its own way
 	bodyBound = 8 << 20                // tens of thousands of entries
 )
 
-// Watch calls the list service over and over, until ctx ends. Each list goes
-// to news, each failure to failed; both are called on Watch's own goroutine.
-func Watch(ctx context.Context, addr string, news func(List), failed func(error), log zerolog.Logger) {
+// Watch calls the list service over and over, until ctx ends. Each list goes to news, each failure to failed;
+// both are called on Watch's own goroutine. A whole list older than known is taken only if none as new comes for
+// a while: a service that lags behind the one before it must not take back what that one told of drains.
+func Watch(ctx context.Context, addr string, known uint64, news func(List), failed func(error), log zerolog.Logger) {
 	dialer := netpoll.NewDialer()
 	client := http.Client{Transport: &http.Transport{
 		DialContext: func(_ context.Context, network, addr string) (net.Conn, error) {
@@ -30,13 +32,17 @@
 		},
 		DisableCompression: true,
 	}}
-	whole, from := true, uint64(0) // until a whole list has come, it is asked for
+	defer client.CloseIdleConnections()
+	whole, from, since := true, uint64(0), time.Now() // until a whole list has come, it is asked for
 	for last := ""; ctx.Err() == nil; {
 		url := "http://" + addr + "/catalog/members"
 		if !whole {
 			url = fmt.Sprintf("%s?from=%d&hold_ms=%d", url, from, hold.Milliseconds())
 		}
 		l, err := call(ctx, &client, url)
+		if whole && err == nil && l.Generation < known && time.Since(since) < catchUp {
+			err = fmt.Errorf("generation %d is older than the last list, %d", l.Generation, known)
+		}
 		if err == nil {
 			if last != "" {
 				log.Info().Msg("the list service answers again")
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -57,7 +57,15 @@
 	fleet    *caches.Fleet
 	peers    *peers.Peers
 	listed   map[uint64]bool // the servers that the list holds
-	stop     context.CancelFunc
+	told     uint64          // the list's generation as the list service last told it
+	watch    *watch          // whose news count
+	next     *watch          // that watch's successor, until it has told a whole list
+}
+
+// watch is a call to a list service that goes on.
+type watch struct {
+	addr string
+	stop context.CancelFunc
 }
 
 // Run serves until the router has ended.
@@ -68,19 +76,67 @@
 	if err := sock.LogTo(log.With().Str("level", "warn").Logger()); err != nil {
 		return err
 	}
+	signals := make(chan os.Signal, 8)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	s, err := assemble(conf, log)
 	if err != nil {
 		return err
 	}
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	go func() {
-		<-signals
-		s.loop.Post(s.leave)
-	}()
+	go s.obey(signals, os.Getenv)
 	return s.loop.Run()
 }
 
+// obey takes signals. Files are read here, off the loop.
+func (s *Service) obey(signals <-chan os.Signal, env func(string) string) {
+	for sig := range signals {
+		if sig != syscall.SIGHUP {
+			s.loop.Post(s.leave)
+		} else if conf, err := config.Read(env); err != nil {
+			s.log.Error().Err(err).Msg("the new configuration cannot be used; the old one stays")
+		} else {
+			s.loop.Post(func() { s.reconfigure(conf) })
+		}
+	}
+}
+
+// reconfigure takes a new configuration while the router serves: the list service may have moved.
+func (s *Service) reconfigure(conf config.Config) {
+	if s.phase == Ended {
+		return
+	}
+	if keys := s.conf.Restart(conf); len(keys) > 0 {
+		s.log.Warn().Strs("keys", keys).Msg("these changes need a restart; the old values stay")
+	}
+	s.conf.Discovery = conf.Discovery
+	s.log.Info().Str("discovery", conf.Discovery).Msg("configured anew")
+	s.follow(conf.Discovery)
+}
+
+// follow moves the watch to a list service. The watch before it goes on until the new one has told a whole list: so
+// no news is lost between them, and an address where nothing answers costs nothing.
+func (s *Service) follow(addr string) {
+	if s.next != nil {
+		if s.next.addr == addr {
+			return
+		}
+		s.next.stop()
+		s.next = nil
+	}
+	if s.watch != nil && s.watch.addr == addr {
+		return
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	w := &watch{addr: addr, stop: stop}
+	s.next = w
+	go discovery.Watch(ctx, addr, s.told, func(l discovery.List) {
+		s.loop.Post(func() { s.news(w, l) })
+	}, func(error) {
+		if s.conf.Settings.OnRequest { // elsewhere the module has asked for nothing
+			s.loop.Post(func() { s.failed(w) })
+		}
+	}, s.log.With().Str("discovery", addr).Logger())
+}
+
 // assemble puts the parts together, from the caches to the clients.
 func assemble(conf config.Config, log zerolog.Logger) (*Service, error) {
 	loop, err := sock.New()
@@ -112,27 +168,34 @@
 	if err != nil {
 		return nil, err
 	}
-	ctx, stop := context.WithCancel(context.Background())
-	s.stop = stop
-	go discovery.Watch(ctx, c.Discovery, func(l discovery.List) {
-		s.loop.Post(func() { s.news(l) })
-	}, func(error) {
-		if c.Settings.OnRequest { // elsewhere the module has asked for nothing
-			s.loop.Post(func() { s.hear(logic.Failed, discovery.List{}) })
-		}
-	}, s.log)
+	s.follow(c.Discovery)
 	s.loop.After(counting, s.count)
 	return s, nil
 }
 
-func (s *Service) news(l discovery.List) {
-	if l.Whole {
+func (s *Service) news(w *watch, l discovery.List) {
+	if w == s.next {
+		if s.watch != nil {
+			s.watch.stop()
+		}
+		s.watch, s.next = w, nil
+	}
+	if w != s.watch {
+		return // moved from since
+	}
+	if s.told = l.Generation; l.Whole {
 		s.hear(logic.Snapshot, l)
 	} else {
 		s.hear(logic.Diff, l)
 	}
 }
 
+func (s *Service) failed(w *watch) {
+	if w == s.watch || s.watch == nil && w == s.next {
+		s.hear(logic.Failed, discovery.List{})
+	}
+}
+
 // hear takes news of the list. The addresses are known before the module acts on it.
 func (s *Service) hear(kind logic.ListKind, l discovery.List) {
 	if kind == logic.Snapshot || kind == logic.Disk {
@@ -203,7 +266,11 @@
 	if s.phase != Ended {
 		s.enter(Ended)
 		s.counts()
-		s.stop()
+		for _, w := range []*watch{s.watch, s.next} {
+			if w != nil {
+				w.stop()
+			}
+		}
 		s.loop.Stop()
 	}
 }
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -6,7 +6,10 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -51,6 +54,9 @@
 	return list.Listener.Addr().String()
 }
 
+const usual = `{"listen":"%s","discovery":"%s","settings":{"limits":{"mostExecutions":3},
+	"trafficTypes":[{"name":"t","effect":"retryable","promisedTime":1000000000,"hardStop":2000000000,"benefit":1}]}}`
+
 // running gives a service that serves, its address, and where its end is told.
 func running(t *testing.T, discovery string) (s *Service, addr string, ended chan error) {
 	free, err := net.Listen("tcp", "127.0.0.1:0")
@@ -59,9 +65,7 @@
 	}
 	addr = free.Addr().String()
 	free.Close()
-	conf, err := config.Parse(fmt.Appendf(nil, `{"listen":"%s","discovery":"%s","settings":{"limits":{"mostExecutions":3},
-		"trafficTypes":[{"name":"t","effect":"retryable","promisedTime":1000000000,"hardStop":2000000000,"benefit":1}]}}`,
-		addr, discovery), func(string) string { return "" })
+	conf, err := config.Parse(fmt.Appendf(nil, usual, addr, discovery), func(string) string { return "" })
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -137,15 +141,52 @@
 	}
 }
 
+// SIGHUP under way: a file that cannot be used leaves all as it was, one that names another list service moves the
+// watch there without a gap, and neither ends the router nor an operation.
+func TestNewConfiguration(t *testing.T) {
+	old, other := fleet(t, 300*time.Millisecond), fleet(t, 0)
+	s, addr, _ := running(t, old)
+	defer s.loop.Post(s.end)
+	path := filepath.Join(t.TempDir(), "config.json")
+	signals := make(chan os.Signal)
+	go s.obey(signals, func(string) string { return path })
+	defer close(signals)
+	answer := make(chan string, 1)
+	go func() { answer <- ask(addr, read) }()
+	for _, c := range []struct{ text, follows string }{
+		{"{", old}, // the file is broken
+		{fmt.Sprintf(usual, addr, "nowhere"), old},
+		{fmt.Sprintf(usual, addr, "127.0.0.1:1"), old}, // nobody is there: the old list service goes on telling
+		{fmt.Sprintf(usual, "127.0.0.1:1", other), other},
+	} {
+		os.WriteFile(path, []byte(c.text), 0o600)
+		signals <- syscall.SIGHUP
+		var follows string
+		for deadline := time.Now().Add(3 * time.Second); follows != c.follows && time.Now().Before(deadline); {
+			time.Sleep(50 * time.Millisecond)
+			done := make(chan string)
+			s.loop.Post(func() { done <- s.watch.addr })
+			follows = <-done
+		}
+		if follows != c.follows {
+			t.Errorf("after %s it follows %s", c.text, follows)
+		}
+	}
+	if got := <-answer; got != "VA 2 Oa1" {
+		t.Errorf("an operation under way is answered %q", got)
+	}
+	if got := ask(addr, read); got != "VA 2 Oa1" || s.listener == nil {
+		t.Errorf("moved, it answers %q", got)
+	}
+}
+
 // Without a list it takes what comes, declines it and is not yet said to serve; the list's silence later
 // changes nothing.
 func TestStarting(t *testing.T) {
 	free, _ := net.Listen("tcp", "127.0.0.1:0")
 	addr := free.Addr().String()
 	free.Close()
-	conf, err := config.Parse(fmt.Appendf(nil, `{"listen":"%s","discovery":"127.0.0.1:1","settings":{"trafficTypes":
-		[{"name":"t","effect":"retryable","promisedTime":1000000000,"hardStop":2000000000,"benefit":1}]}}`, addr),
-		func(string) string { return "" })
+	conf, err := config.Parse(fmt.Appendf(nil, usual, addr, "127.0.0.1:1"), func(string) string { return "" })
 	if err != nil {
 		t.Fatal(err)
 	}
