Answer and close bad clients at the front, and let nothing of theirs go on

A trace of the raw input showed which: types that the settings lack, an empty or negative d, ids of other clients' operations. Each was turned away by one cache server after another, and each time the module counted a failure against it; connections ended. 116 silent connections were left for 4 s. Now a type that the settings lack, a d that is no number above 0 and an id taken lately are CLIENT_ERROR; a command or a first word has 1.5 s; three unusable commands end a connection; who never sent anything usable makes room first; an idle connection is closed after 2 s where half of the places are taken; a value's memory grows as its bytes come.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -3,8 +3,11 @@
 package front
 
 import (
+	"cmp"
+	"hash/maphash"
 	"math"
 	"strconv"
+	"strings"
 
 	"bendtrestle/internal/meta"
 	"bendtrestle/internal/router"
@@ -20,10 +23,15 @@
 }
 
 const (
-	unread    = 32 // answers owed to one connection before its next commands are left in the socket
-	patience  = 10 // seconds without a byte; several times the longest hard stops seen
-	settled   = 1  // seconds without a byte; a client that means to send at once has done so
-	usualLeft = 1  // seconds that a client without a stated limit is taken to wait, if its type has none either
+	unread    = 32   // answers owed to one connection before its next commands are left in the socket
+	patience  = 10   // seconds without a byte of an answer being read; several times the longest hard stops seen
+	begins    = 1.5  // seconds for a command to become whole, or to come at all: clients connect to send at once
+	settled   = 1    // seconds without a byte; a client that means to send at once has done so
+	arriving  = 0.1  // the same for one that has sent nothing usable yet: many round trips, where a place is sought
+	kept      = 2    // seconds that an idle connection is kept where half of the places are taken
+	faults    = 3    // commands that can't be used, after which a connection ends: a person may mistype
+	recent    = 4096 // ids remembered: the operations of some seconds at a thousand a second
+	usualLeft = 1    // seconds that a client without a stated limit is taken to wait, if its type has none either
 )
 
 // Front is all clients.
@@ -36,26 +44,53 @@
 	held      int
 	ready     bool // mn is answered MN
 	leaving   bool // connections are closed as they become idle
+	salt      maphash.Seed
+	ids       [recent]struct {
+		hash  uint64
+		until float64
+	}
 }
 
-// New makes a front without clients. hardStops tells by traffic type how long clients wait that do not say.
+// New makes a front without clients. hardStops tells by traffic type how long clients wait at most; a type that
+// it lacks is not taken.
 func New(loop *sock.Loop, r *router.Router, limits Limits, hardStops map[string]float64) *Front {
-	f := &Front{loop: loop, router: r, limits: limits, hardStops: hardStops, clients: map[*client]bool{}}
+	f := &Front{loop: loop, router: r, limits: limits, hardStops: hardStops, clients: map[*client]bool{},
+		salt: maphash.MakeSeed()}
 	f.sweep()
 	return f
 }
 
-// sweep closes what holds memory or a place for nothing: a client that reads none of its answers, one that does
-// not go on with a command it has begun, and an idle one beyond the bound.
+// sweep closes what holds memory or a place for nothing: a client that reads none of its answers, one that says
+// nothing or does not finish the command it has begun, an idle one beyond the bound, or where places are scarce.
 func (f *Front) sweep() {
 	now := f.loop.Now()
 	for c := range f.clients {
-		stuck := len(c.rest) > 0 || c.conn.Unsent() > 0 || len(c.answers) == 0 && c.reader.Begun()
-		if stuck && now-c.used > patience || c.surplus && c.idle() {
+		switch idle := len(c.answers) == 0; {
+		case len(c.rest) > 0 || c.conn.Unsent() > 0:
+			if now-c.used > patience {
+				c.close()
+			}
+		case idle && c.reader.Begun() && now-c.began > begins:
+			c.ending = true
+			c.say("CLIENT_ERROR the command does not go on")
+		case idle && !c.useful && now-c.came > begins, c.surplus && c.idle(),
+			now-c.used > kept && len(f.clients) > f.limits.Connections/2 && c.idle():
 			c.close()
 		}
 	}
-	f.loop.After(1, f.sweep)
+	f.loop.After(0.25, f.sweep) // a small part of the least of these times
+}
+
+// repeated tells whether an id has been taken lately, and remembers it: ids are new with every operation, and cache
+// servers turn away what comes under another's, which would look as if they were full.
+func (f *Front) repeated(id string, left float64) bool {
+	hash, now := maphash.String(f.salt, id), f.loop.Now()
+	at := &f.ids[hash%recent]
+	if at.hash == hash && now < at.until {
+		return true
+	}
+	at.hash, at.until = hash, now+left+begins
+	return false
 }
 
 // Ready answers mn with MN from now on.
@@ -77,7 +112,7 @@
 
 // Accepted takes a new connection.
 func (f *Front) Accepted(conn *sock.Conn) sock.Handler {
-	c := &client{f: f, conn: conn, used: f.loop.Now()}
+	c := &client{f: f, conn: conn, used: f.loop.Now(), came: f.loop.Now()}
 	if len(f.clients) >= f.limits.Connections && !f.evict() {
 		c.surplus = true
 	}
@@ -86,11 +121,15 @@
 }
 
 // evict closes the connection that has been idle for longest, if any has been for a while: one that has just come
-// is about to be written to.
+// is about to be written to. Those that never sent what can be used go first: they take no usual client's place.
 func (f *Front) evict() bool {
 	var oldest *client
 	for c := range f.clients {
-		if f.loop.Now()-c.used > settled && (oldest == nil || c.used < oldest.used) && c.idle() {
+		quiet, before := f.loop.Now()-c.used, oldest == nil || c.used < oldest.used
+		if oldest != nil && c.useful != oldest.useful {
+			before = oldest.useful
+		}
+		if before && (quiet > settled || quiet > arriving && !c.useful) && (c.idle() || c.mute()) {
 			oldest = c
 		}
 	}
@@ -107,9 +146,13 @@
 	reader  meta.CommandReader
 	answers []*answer // owed, in the order of the commands
 	rest    [][]byte  // answers that are not in the connection's buffer yet
-	used    float64
-	surplus bool // beyond the bound: declined and closed
-	ending  bool // nothing more is read, and it is closed once all is written
+	used    float64   // when a byte last came or left
+	came    float64
+	began   float64 // when the command that is not whole yet began
+	useful  bool    // an operation of its was taken, or it asked whether the router serves
+	faults  int     // commands that can't be used
+	surplus bool    // beyond the bound: declined and closed
+	ending  bool    // nothing more is read, and it is closed once all is written
 }
 
 // answer is what is owed for one command.
@@ -127,12 +170,17 @@
 // Input reads commands while not too many answers are owed.
 func (c *client) Input() {
 	c.used = c.f.loop.Now()
+	fresh := !c.reader.Begun()
 	for c.conn.In.Len() > 0 && !c.full() && !c.ending {
-		if _, err := c.reader.Read(c.conn.In, c); err != nil {
+		whole, err := c.reader.Read(c.conn.In, c)
+		if fresh = fresh || whole; err != nil {
 			c.ending = true
 			c.say("CLIENT_ERROR " + err.Error())
 		}
 	}
+	if fresh {
+		c.began = c.used
+	}
 	if c.full() || c.ending {
 		c.conn.Pause()
 	}
@@ -152,6 +200,7 @@
 
 // Noop tells whether the router serves.
 func (c *client) Noop() {
+	c.useful = true
 	if c.f.ready {
 		c.say("MN")
 	} else {
@@ -159,8 +208,12 @@
 	}
 }
 
-// Bad takes a command that cannot be used.
-func (c *client) Bad(text string) { c.say(text) }
+// Bad takes a command that cannot be used. One who goes on sending such is not listened to for ever.
+func (c *client) Bad(text string) {
+	c.faults++
+	c.ending = c.ending || c.faults >= faults
+	c.say(text)
+}
 
 // say answers a command from here.
 func (c *client) say(text string) {
@@ -171,22 +224,32 @@
 
 func (c *client) take(op router.Operation) {
 	f := c.f
-	op.Kind, op.Tenant = meta.Figure(op.Figures, "c"), meta.Figure(op.Figures, "tenant")
-	var stated bool
-	if op.Left, stated = f.hardStops[op.Kind]; !stated {
-		op.Left = usualLeft
+	op.Kind, _ = meta.Figure(op.Figures, "c")
+	op.Tenant, _ = meta.Figure(op.Figures, "tenant")
+	most, known := f.hardStops[op.Kind]
+	left, fault := stated(op.Figures)
+	switch {
+	case !known: // no cache server could use it either
+		fault = "CLIENT_ERROR the type c is unknown"
+	case fault == "" && left == 0:
+		left = cmp.Or(most, usualLeft)
 	}
-	if text := meta.Figure(op.Figures, "d"); text != "" {
-		ms, err := strconv.ParseFloat(text, 64)
-		if err != nil || math.IsNaN(ms) || math.IsInf(ms, 0) {
-			c.say("CLIENT_ERROR d is not a number")
-			return
-		}
-		op.Left = ms / 1e3
+	if fault != "" {
+		c.Bad(fault)
+		return
+	}
+	if op.Left = left; most > 0 {
+		op.Left = min(left, most)
 	}
+	full := c.surplus || f.router.Open() >= f.limits.Open || f.held >= f.limits.Held
+	if !full && f.repeated(op.ID, op.Left) {
+		c.Bad("CLIENT_ERROR the id O is another operation's")
+		return
+	}
+	c.useful = true
 	a := &answer{c: c, op: &op}
 	c.answers = append(c.answers, a)
-	if c.surplus || f.router.Open() >= f.limits.Open || f.held >= f.limits.Held {
+	if full {
 		c.ending = c.surplus
 		a.give(meta.AppendBusy(nil, 0))
 		return
@@ -196,6 +259,19 @@
 	a.operation = f.router.Taken(a.op, a)
 }
 
+// stated reads how long a client will wait, in seconds; 0 if it does not say.
+func stated(figures string) (left float64, fault string) {
+	text, there := meta.Figure(figures, "d")
+	if !there {
+		return 0, ""
+	}
+	ms, err := strconv.ParseFloat(text, 64)
+	if err != nil || strings.Trim(text, "0123456789.") != "" || !(ms > 0) {
+		return 0, "CLIENT_ERROR d is not a number above 0"
+	}
+	return ms / 1e3, ""
+}
+
 // Finished passes on what a cache server made.
 func (a *answer) Finished(with router.Result) {
 	if a.op.Write {
@@ -267,6 +343,9 @@
 	}
 }
 
+// mute tells that nothing is owed and only a part of a command has come, or nothing.
+func (c *client) mute() bool { return !c.useful && len(c.answers) == 0 && len(c.rest) == 0 }
+
 // idle tells that nothing is owed and nothing has begun.
 func (c *client) idle() bool {
 	return len(c.answers) == 0 && len(c.rest) == 0 && c.conn.Unsent() == 0 &&
--- a/internal/meta/meta.go
+++ b/internal/meta/meta.go
@@ -16,6 +16,7 @@
 	lineBound  = 2048
 	keyBound   = 250
 	ValueBound = 64 << 10
+	firstPart  = 4 << 10 // of a value's memory: the rest as its bytes come, for who only says a length gets none
 )
 
 // A stream that breaks these cannot be followed any further.
@@ -69,7 +70,7 @@
 	}
 	end := int(length) + len("\r\n")
 	if c.value == nil {
-		c.value = make([]byte, 0, end)
+		c.value = make([]byte, 0, min(end, firstPart))
 	}
 	for len(c.value) < end {
 		var parts [2][]byte
@@ -106,14 +107,14 @@
 	return ""
 }
 
-// Figure reads one of a list of names and values, as in "c=read,d=480".
-func Figure(figures, name string) string {
+// Figure reads one of a list of names and values, as in "c=read,d=480", and tells whether it is there.
+func Figure(figures, name string) (value string, there bool) {
 	for f := range strings.SplitSeq(figures, ",") {
 		if k, v, ok := strings.Cut(f, "="); ok && k == name {
-			return v
+			return v, true
 		}
 	}
-	return ""
+	return "", false
 }
 
 // WithFigure sets one of a list of names and values, and leaves the others as they are.
