Tell a spoilt answer at once and end its connection

At fault: link.Other kept the connection, so what was left of one spoilt answer was taken for the next execution's; ReplyReader waited for the end of a line that has none, and for a value that is shorter than it says. Ruled out: noise behind good answers, which the look at the connection before it is reused finds (no Finished was followed by one). Now a reply that begins as none does is told by its first bytes, one that has begun and gets no further byte for a third of the connect timeout is spoilt too, and either ends its connection as lost: it may have run.

--- a/internal/caches/caches.go
+++ b/internal/caches/caches.go
@@ -18,6 +18,7 @@
 	Connections    int     // to all cache servers together
 	PerConnection  int     // executions that a connection carries at once
 	ConnectTimeout float64 // a connection that is not up by then never comes up
+	Stall          float64 // a reply that has begun and gets no further byte for so long will not go on
 	Idle           float64 // cache servers close one that stood idle for so long
 }
 
--- a/internal/caches/caches_test.go
+++ b/internal/caches/caches_test.go
@@ -106,7 +106,7 @@
 	}
 }
 
-var usual = Limits{Connections: 8, PerConnection: 4, ConnectTimeout: 1, Idle: 60}
+var usual = Limits{Connections: 8, PerConnection: 4, ConnectTimeout: 1, Stall: 0.05, Idle: 60}
 
 // The protocol's table: what came back, and what that proves.
 func TestOutcomes(t *testing.T) {
@@ -114,7 +114,8 @@
 		"VA 2 Oa h0 Z\r\nhi\r\n":  logic.Finished,
 		"SERVER_ERROR busy\r\n":   logic.TurnedAway,
 		"SERVER_ERROR failed\r\n": logic.Error,
-		"CLIENT_ERROR bad\r\n":    logic.Unknown,
+		"CLIENT_ERROR bad\r\n":    logic.ConnectionLost,
+		"SERVER_ERROR odd\r\n":    logic.ConnectionLost,
 		"VA 2 Ob\r\nhi\r\n":       logic.ConnectionLost, // made for another: not to be passed on
 		"HD Oa c1\r\n":            logic.ConnectionLost, // no answer to a read
 		"VA 2 Oa\r\nhi":           logic.ConnectionLost, // cut short
@@ -147,6 +148,36 @@
 	})
 }
 
+// A spoilt answer leaves its connection open and of no use: it must be ended, lest the rest be taken for the next
+// execution's answer, and told at once, not when the execution's limit is over.
+func TestSpoiltAnswer(t *testing.T) {
+	for _, reply := range []string{"CLIENT_ERROR bad\r\n", "SERVER_ERROR odd\r\n", "\x93\x00\xff", "no end of a line",
+		"VA 9 Oa\r\nhi\r\n", "VA 3000000000 Oa\r\nhi", "VA 2 O", "VA 1 Oa\r\nhi\r\n", "VA 2 Ob\r\nhi\r\n"} {
+		f := serving(t, usual, func(conn net.Conn, _ string) { conn.Write([]byte(reply)) })
+		began := time.Now()
+		o, _ := f.execute(3)
+		o.want(t, logic.ConnectionLost)
+		if took := time.Since(began); took > time.Second {
+			t.Errorf("%q: told after %v", reply, took)
+		}
+		f.line("mg")
+		f.line("end")
+	}
+}
+
+// A good answer stands, whatever comes behind it; the next execution gets a connection of its own.
+func TestMoreThanTheAnswer(t *testing.T) {
+	for _, more := range []string{"VA 0 Oa\r\n\r\n", "\x93noise", "END\r\n"} {
+		f := serving(t, usual, func(conn net.Conn, _ string) { conn.Write([]byte("VA 0 Oa\r\n\r\n" + more)) })
+		for range 2 {
+			o, _ := f.execute(3)
+			o.want(t, logic.Finished)
+			f.line("mg")
+			f.line("end")
+		}
+	}
+}
+
 // A server that answers and ends the connection in one go: the next execution must not be written there, where
 // it would count as one that may have run.
 func TestAnswerAndEndTogether(t *testing.T) {
--- a/internal/caches/link.go
+++ b/internal/caches/link.go
@@ -73,7 +73,7 @@
 type link struct {
 	on     *server
 	conn   *sock.Conn
-	timer  *sock.Timer // until it is up
+	timer  *sock.Timer // until it is up, then until a reply that has begun must have gone on
 	up     bool
 	reader meta.ReplyReader
 	queue  []*attempt // out, in the order of their answers
@@ -126,6 +126,7 @@
 // Opened takes the end of a dial.
 func (l *link) Opened() {
 	l.timer.Stop()
+	l.timer = l.on.f.loop.Timer(l.stalled)
 	l.up = true
 	l.on.coming--
 	l.on.free(l)
@@ -193,6 +194,21 @@
 			return // a reply ended it
 		}
 	}
+	if l.reader.Begun() {
+		l.timer.Set(l.on.f.loop.Now() + l.on.f.limits.Stall)
+	} else {
+		l.timer.Stop()
+	}
+}
+
+// stalled takes that a reply does not go on: one that says more than it holds would be waited for until the hard
+// stop. What the loop has not come to read is no stall.
+func (l *link) stalled() {
+	if l.conn.Unread() {
+		l.timer.Set(l.on.f.loop.Now() + l.on.f.limits.Stall)
+	} else {
+		l.stray("a part")
+	}
 }
 
 // stray takes what no cache server should have sent: the connection cannot be relied on any more.
@@ -261,8 +277,5 @@
 	l.answered(logic.Finished, router.Result{})
 }
 
-// Other takes a line that the protocol does not name.
-func (l *link) Other(line string) {
-	l.on.f.log.Warn().Stringer("server", l.on.addr).Str("reply", line).Msg("a reply not understood")
-	l.answered(logic.Unknown, router.Result{})
-}
+// Other takes a line that the protocol does not name. What may follow it would be taken for another's answer.
+func (l *link) Other(line string) { l.stray(line) }
--- a/internal/meta/meta_test.go
+++ b/internal/meta/meta_test.go
@@ -89,15 +89,19 @@
 
 func TestReplies(t *testing.T) {
 	for stream, want := range map[string]string{
-		"VA 5 Oa h1\r\nhello\r\nHD Ob c77\r\n":                        `value a "hello"; stored b 77`,
-		"VA 0 Oa h0 Z\r\n\r\nMN\r\n":                                  `value a ""; ready`,
-		"SERVER_ERROR busy\r\nSERVER_ERROR busy 20\r\n":               "busy; busy",
-		"SERVER_ERROR failed\r\nSERVER_ERROR out of memory\r\nEN\r\n": "failed; failed; other EN",
-		"\r\nVA\r\n":              "other ; other VA",
-		"VA x Oa\r\n":             "a value's length cannot be read",
-		"VA 3 Oa\r\nhello":        "a value does not end where its length says",
-		strings.Repeat("x", 2049): "a line is too long",
-		"VA 65536 Oa\r\nhe":       "",
+		"VA 5 Oa h1\r\nhello\r\nHD Ob c77\r\n":                  `value a "hello"; stored b 77`,
+		"VA 0 Oa h0 Z\r\n\r\nMN\r\n":                            `value a ""; ready`,
+		"SERVER_ERROR busy\r\nSERVER_ERROR busy 20\r\n":         "busy; busy",
+		"SERVER_ERROR failed\r\nSERVER_ERROR out of memory\r\n": "failed; other SERVER_ERROR out of memory",
+		"VA 3000000000 Oa\r\nxxx":                               "a value's length cannot be read",
+		"EN\r\n":                                                "no reply begins so",
+		"\x00":                                                  "no reply begins so", // at once, not at an end of the line that may never come
+		"VB 5":                                                  "no reply begins so",
+		"VA\r\n":                                                "no reply begins so",
+		"VA x Oa\r\n":                                           "a value's length cannot be read",
+		"VA 3 Oa\r\nhello":                                      "a value does not end where its length says",
+		"VA " + strings.Repeat("x", 2049):                       "a line is too long",
+		"VA 65536 Oa\r\nhe":                                     "",
 	} {
 		inPieces(t, stream, want, replies)
 	}
--- a/internal/meta/reply.go
+++ b/internal/meta/reply.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"errors"
+	"slices"
 	"strconv"
 
 	"bendtrestle/internal/ring"
@@ -20,9 +22,22 @@
 // ReplyReader reads a cache server's replies.
 type ReplyReader struct{ cutter }
 
-// Read hands on the next reply; false while it is not whole. After an error nothing more can be read.
+// Begun tells whether a reply has begun and is not whole.
+func (r *ReplyReader) Begun() bool { return r.begun() }
+
+var (
+	errReply = errors.New("no reply begins so")
+	begins   = []string{"VA ", "HD ", "SERVER_ERROR ", "MN\r\n", "MN\n"}
+)
+
+// Read hands on the next reply; false while it is not whole. After an error nothing more can be read. Noise is told
+// by its first bytes: whoever waits for the end of a line that never ends waits until its hard stop.
 func (r *ReplyReader) Read(in *ring.Buffer, to Replies) (bool, error) {
 	verb, fields, whole, err := r.readLine(in)
+	may := func(begin string) bool { n := min(len(begin), len(r.line)); return string(r.line[:n]) == begin[:n] }
+	if err == nil && !slices.ContainsFunc(begins, may) {
+		return false, errReply
+	}
 	if !whole {
 		return false, err
 	}
@@ -37,7 +52,7 @@
 		to.Stored(flag(fields[1:], 'O'), flag(fields[1:], 'c'))
 	case verb == "SERVER_ERROR" && len(fields) >= 2 && string(fields[1]) == "busy":
 		to.Busy()
-	case verb == "SERVER_ERROR":
+	case verb == "SERVER_ERROR" && len(fields) == 2 && string(fields[1]) == "failed":
 		to.Failed()
 	case verb == "MN":
 		to.Ready()
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -146,8 +146,10 @@
 	s, c := &Service{conf: conf, log: log, loop: loop, listed: map[uint64]bool{}}, &conf
 	s.log.Info().Str("name", c.Name).Str("listen", c.Listen).Int("clients", c.Clients).Int("caches", c.Caches).
 		Int("open", c.Open).Msg("starting")
+	// A reply is sent in one go: its parts lie closer than the round trips of a new connection, for which the
+	// connect timeout leaves room.
 	s.fleet = caches.New(s.loop, caches.Limits{Connections: c.Caches, PerConnection: c.PerConnection,
-		ConnectTimeout: c.ConnectTimeout, Idle: c.ConnIdle}, s.log)
+		ConnectTimeout: c.ConnectTimeout, Stall: c.ConnectTimeout / 3, Idle: c.ConnIdle}, s.log)
 	if c.Settings.Peers && c.PeerListen != "" {
 		heard := func(words []byte) { s.loop.Post(func() { s.router.Told(words) }) }
 		s.peers, err = peers.Open(c.PeerListen, c.PeersAll, c.Peers, c.Settings.Me, heard, s.log)
--- a/internal/sock/conn.go
+++ b/internal/sock/conn.go
@@ -220,11 +220,22 @@
 
 // Quiet tells that the socket holds nothing unread and has not ended.
 func (c *Conn) Quiet() bool {
-	var one [1]byte
-	_, _, err := unix.Recvfrom(c.fd, one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	_, err := c.peek()
 	return c.In.Len() == 0 && err == unix.EAGAIN
 }
 
+// Unread tells whether the socket holds bytes that have not been read.
+func (c *Conn) Unread() bool {
+	n, err := c.peek()
+	return err == nil && n > 0
+}
+
+func (c *Conn) peek() (int, error) {
+	var one [1]byte
+	n, _, err := unix.Recvfrom(c.fd, one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	return n, err
+}
+
 // lost takes the other side's end of the connection.
 func (c *Conn) lost() {
 	if c.closed {
