Let the runtime have two processors, build the circle without a queue, set the alarm less often

With one processor the monitor finds none idle, takes it from the loop at each wait, and is woken again after it.

--- a/internal/caches/caches.go
+++ b/internal/caches/caches.go
@@ -212,11 +212,14 @@
 
 // free takes a connection with nothing out.
 func (s *server) free(l *link) {
-	if len(s.waiting) > 0 {
+	if len(s.waiting) > 0 && l.conn.Quiet() { // else what would be written now might be lost
 		a := s.waiting[0]
 		s.leave(a)
 		l.send(a)
 		return
+	} else if len(s.waiting) > 0 {
+		l.broken()
+		return
 	}
 	l.since = s.f.loop.Now()
 	if s.idle = append(s.idle, l); !s.listed {
--- a/internal/caches/link.go
+++ b/internal/caches/link.go
@@ -229,7 +229,7 @@
 	whole := a.written()
 	a.settle(how, with)
 	switch {
-	case !whole || len(l.queue) == 0 && !l.conn.Quiet(): // what would be written now might be lost
+	case !whole:
 		l.broken()
 	case len(l.queue) == 0:
 		l.on.free(l)
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -70,7 +70,8 @@
 
 // Run serves until the router has ended.
 func Run(conf config.Config, log zerolog.Logger) error {
-	runtime.GOMAXPROCS(max(1, int(math.Ceil(conf.Cores))))
+	// Two at least: with one, the runtime's monitor finds none idle and takes it from the loop at each wait for events.
+	runtime.GOMAXPROCS(max(2, int(math.Ceil(conf.Cores))))
 	// Of the runtime's memory. The kernel's buffers of a thousand sockets may count as well, at some 64 KiB each.
 	debug.SetMemoryLimit(int64(conf.Memory) / 2)
 	if err := sock.LogTo(log.With().Str("level", "warn").Logger()); err != nil {
--- a/internal/sock/loop.go
+++ b/internal/sock/loop.go
@@ -193,9 +193,10 @@
 	}
 }
 
-// setAlarm sets the one alarm to the first timer.
+// setAlarm sets the one alarm to the first timer. One set earlier stays and goes off for nothing: most timers are
+// taken back long before their time, and setting it for each of them would cost more.
 func (l *Loop) setAlarm() {
-	if len(l.timers) == 0 || l.timers[0].at == l.armed {
+	if len(l.timers) == 0 || l.armed != 0 && l.armed <= l.timers[0].at {
 		return
 	}
 	l.armed = l.timers[0].at
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -25,7 +25,7 @@
 type vector [(dimensions + 63) / 64]uint64
 
 // table builds the circle by the paper's Algorithm 1: flips are queued on the way out and undone, first in
-// first out, on the way back.
+// first out, on the way back. The queue is what neighbours on the way out differ in.
 var table = sync.OnceValue(func() *[slots]vector {
 	var circle [slots]vector
 	draws := uint32(0)
@@ -34,23 +34,16 @@
 		circle[0][w] = uint64(draw())<<32 | uint64(draw())
 	}
 	circle[0][len(vector{})-1] &= 1<<(dimensions%64) - 1
-	var queue []vector
 	for i := 1; i < slots; i++ {
-		var t vector
-		if i < slots/2 {
-			for set := 0; set < flips; {
-				bit := draw() % dimensions
-				if t[bit/64]>>(bit%64)&1 == 0 {
-					t[bit/64] |= 1 << (bit % 64)
-					set++
-				}
+		circle[i] = circle[i-1]
+		for set := 0; i < slots/2 && set < flips; {
+			if bit := draw() % dimensions; (circle[i][bit/64]^circle[i-1][bit/64])>>(bit%64)&1 == 0 {
+				circle[i][bit/64] ^= 1 << (bit % 64)
+				set++
 			}
-			queue = append(queue, t)
-		} else if len(queue) > 0 {
-			t, queue = queue[0], queue[1:]
 		}
-		for w := range t {
-			circle[i][w] = circle[i-1][w] ^ t[w]
+		for w, k := 0, i-slots/2+1; k > 0 && k < slots/2 && w < len(vector{}); w++ {
+			circle[i][w] ^= circle[k][w] ^ circle[k-1][w]
 		}
 	}
 	return &circle
@@ -173,8 +166,8 @@
 	clear(r.orders[:])
 }
 
-// order gives the points of the ready caches that are most similar to a slot, n of them or all. They lie close
-// by on the circle: beyond twice the steps of n points none is nearer than these (tested).
+// order gives the points of the ready caches that are most similar to a slot, n of them or all. They lie near
+// it on the circle: beyond twice the steps of n points none is nearer than these (tested).
 func (r *Router) order(slot uint32, n int) []point {
 	all := len(r.points)
 	if n = min(n, all); len(r.orders[slot]) >= n {
