--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -28,7 +28,7 @@
 	begins    = 1.5  // seconds for a command to become whole, or to come at all: clients connect to send at once
 	settled   = 1    // seconds without a byte; a client that means to send at once has done so
 	arriving  = 0.1  // the same for one that has sent nothing usable yet: many round trips, where a place is sought
-	kept      = 2    // seconds that an idle connection is kept where half of the places are taken
+	kept      = 2    // seconds that an idle connection is kept: clients that ask once and stay come all day long
 	faults    = 3    // commands that can't be used, after which a connection ends: a person may mistype
 	recent    = 4096 // ids remembered: the operations of some seconds at a thousand a second
 	usualLeft = 1    // seconds that a client without a stated limit is taken to wait, if its type has none either
@@ -61,7 +61,7 @@
 }
 
 // sweep closes what holds memory or a place for nothing: a client that reads none of its answers, one that says
-// nothing or does not finish the command it has begun, an idle one beyond the bound, or where places are scarce.
+// nothing or does not finish the command it has begun, and idle ones.
 func (f *Front) sweep() {
 	now := f.loop.Now()
 	for c := range f.clients {
@@ -74,7 +74,7 @@
 			c.ending = true
 			c.say("CLIENT_ERROR the command does not go on")
 		case idle && !c.useful && now-c.came > begins, c.surplus && c.idle(),
-			now-c.used > kept && len(f.clients) > f.limits.Connections/2 && c.idle():
+			now-c.used > kept && c.idle():
 			c.close()
 		}
 	}
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -284,6 +284,31 @@
 	want(t, usualIn, "SERVER_ERROR starting\r\n")
 }
 
+// Clients that asked once and stay would hold ever more places, each of which is one that others lack.
+func TestIdleClientsAreLetGo(t *testing.T) {
+	s := serve(t, ample)
+	conn, in := s.dial()
+	fmt.Fprintf(conn, "mg k v O1 Pc=t\r\n")
+	h := <-s.began
+	s.do(func() {
+		for c := range s.clients {
+			c.used, c.came = c.used-2*kept, c.came-2*kept
+		}
+		s.sweep() // it waits for an answer
+	})
+	s.finish(h, "x")
+	want(t, in, "VA 1 O1\r\nx\r\n")
+	s.do(func() {
+		for c := range s.clients {
+			c.used -= 2 * kept
+		}
+		s.sweep()
+	})
+	if _, err := in.ReadByte(); err != io.EOF {
+		t.Errorf("an idle connection stays, %v", err)
+	}
+}
+
 // Of those that hold the places, one that never sent anything usable goes first, however short its silence is.
 func TestSilentMakeRoom(t *testing.T) {
 	s := serve(t, Limits{Connections: 2, Spare: 1, Open: 10, Held: 1 << 20})
