Widen the ramp of shedding while nearly all executions finish within the promised time

Of the executions begun with one, two and three in flight 92, 90 and 90% finished within the promised time. Ruled out: crowding (passed over as before), waiting for connections, late tries (0.4% of the shed). In the simulator answers come in the order of a connection and an execution waits for those before it; on sockets each has a connection of its own, and the ramp of 0.3 to 0.6 is too early. Now the ramp widens with the part that is in time of late; not where executions are ordered, which the settings tell and the real router is not, nor where the router asks the origin. A client in a hurry leaves half of a try for pauses, not a quarter.

--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -158,7 +158,8 @@
 			s.log.Warn().Err(err).Msg("no peers")
 		}
 	}
-	watch := func(on bool) {} // the list is watched in any case
+	c.Settings.Ordered = false // answers come in the order of a connection, but each execution has one of its own
+	watch := func(on bool) {}  // the list is watched in any case
 	s.router = router.New(c.Settings, router.Outside{Clock: s.loop, Caches: s.fleet, Tell: s.peers.Tell,
 		Watch: watch, Log: s.log})
 	hardStops := map[string]float64{}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -14,6 +14,7 @@
 		Routers:        int(o.Count("fleetSize")),
 		Step:           o.Seconds("step"),
 		Aside:          family.Text("mode") == "aside",
+		Ordered:        family.Flag("ordered"),
 		OnRequest:      o.Text("discovery") == "on_request",
 		HintsFixed:     o.Text("weights") == "nominal" || o.Text("weights") == "rough",
 		MostExecutions: int(limits.Number("mostExecutions")),
--- a/logic/host.go
+++ b/logic/host.go
@@ -109,6 +109,7 @@
 	Routers        int
 	Step           float64 // events come no more often than this
 	Aside          bool    // the router, not the cache, asks the origin
+	Ordered        bool    // an execution waits for those sent to its server before it
 	OriginKind     string
 	OnRequest      bool // the list comes only when asked for
 	HintsFixed     bool // Member.Capacity is a size, not a load
@@ -156,6 +157,7 @@
 	voice, spare float64      // messages that may be sent to them; further executions that may be made
 	flow, flowAt float64      // executions that caches finished a second, and when that was reckoned
 	taken        float64      // part of the operations of late that caches finished
+	timely       float64      // part of the executions of late that finished within the promised time
 	value        float64      // benefit for a second's execution, the mean of what was judged lately
 	asked, wait  float64      // when the list was last asked for, 0 if answered; the wait after an error
 }
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -332,7 +332,7 @@
 	}
 	// A client gives all its tries the hard stop together. Most, the first, come with the same time left, found
 	// by majority vote; on others the rest is spent. What can no longer be in time must not crowd out what can.
-	switch least := min(t.PromisedTime, t.HardStop-1.25*t.usual); {
+	switch least := min(t.PromisedTime, t.HardStop-1.5*t.usual); {
 	case math.Abs(left-t.usual) <= 2*r.set.Step:
 		t.votes++
 	case t.votes == 0:
@@ -400,7 +400,8 @@
 		bound = op.row.PromisedTime
 	}
 	if len(s.out) > 0 || s.fails > 0 {
-		bound *= 0.3 + 0.3*r.chance() // a ramp, as hope for the promised time falls
+		// A ramp, as hope for the promised time falls; up to twice as wide while nearly all is in time.
+		bound *= (0.3 + 0.3*r.chance()) * (1 + 5*max(0, r.timely-0.75))
 	}
 	if len(s.out) > 0 {
 		takes = max(takes, r.now-max(s.heard, s.out[0].sent)) // it may stand still
@@ -526,6 +527,12 @@
 	if how == Finished {
 		t.lag, t.heard = max(t.lag+(lag-t.lag)/16, 1e-6), r.now
 	}
+	// Not where an execution waits for those before it, or one that misses needs another at the origin.
+	if how == Finished && r.now <= e.of.due && !r.set.Ordered && !r.set.Aside {
+		r.timely += (1 - r.timely) / 64
+	} else if e.of.worth == 1 {
+		r.timely -= r.timely / 64
+	}
 	was := 1 + (s.slow-1)*math.Exp((s.heard-r.now)/t.PromisedTime/8)
 	s.seem(r.now, lag/t.lag, 1.0/8, 1) // a single long one says little
 	r.tell(s, lag/t.lag, was)
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -393,6 +393,27 @@
 	}
 }
 
+// With an execution in flight nearly half were shed at caches that answered nine of ten in time (sockets).
+func TestRampWidensWhileNearlyAllIsInTime(t *testing.T) {
+	for _, ordered := range []bool{false, true} {
+		r, _ := fleet(1, func(s *Settings) { s.Ordered = ordered })
+		s := r.servers[1]
+		for range 400 {
+			r.Settled(r.now+0.01, begun(r, "view", s, true, false).id, 0, Finished, 0.25, true)
+		}
+		s.out = []*execution{{sent: r.now}}
+		op := begun(r, "view", nil, false, true)
+		r.value = op.row.Benefit / op.row.lag
+		for range 50 {
+			expect(t, fmt.Sprint("shed where ordered is ", ordered), r.strained(op, s), ordered)
+		}
+		for range 100 {
+			r.Settled(r.now+0.01, begun(r, "view", s, true, false).id, 0, NoAnswer, 0.5, false)
+		}
+		expect(t, "late ones count", r.timely < 0.3, true)
+	}
+}
+
 // Each router's one try kept a jammed cache jammed (arkib-dialek, second incident).
 func TestIdleLineDoesNotKeepAJamAlive(t *testing.T) {
 	r, _ := fleet(1, nil)
@@ -474,7 +495,8 @@
 	for i := uint32(0); i < slots; i += 64 {
 		var least, most [slots/2 + 1]int
 		for k := range least {
-			a, b := distance(&circle[i], &circle[(i+uint32(k))%slots]), distance(&circle[i], &circle[(i-uint32(k))%slots])
+			a := distance(&circle[i], &circle[(i+uint32(k))%slots])
+			b := distance(&circle[i], &circle[(i-uint32(k))%slots])
 			least[k], most[k] = min(a, b), max(a, b)
 		}
 		for k := 1; k < len(least); k++ {
