Bound open operations by what they hold without their values

Seen in config.go's derive: with 32 MB 64 operations may be open, since each was taken to hold two values of 64 KiB; four times the usual load (1,280 a second at 35 ms each) has 45 open in the middle and more in bursts, which would be declined. Checked: values are bounded apart, those for clients by an eighth of the memory (front's held), those coming in by the connections to caches. An operation without them was reckoned at 4 KiB. Now 512 with 32 MB.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -119,14 +119,14 @@
 
 // derive splits the limits. Of the descriptors 32 are for the list service, standard files, the loop and what is
 // about to be closed; of the others half go to clients, a sixteenth of that to clients that are declined, three
-// eighths to caches. Open operations are bounded so that values of
-// the protocol's greatest length, two copies each, fill a quarter of the memory; what waits to be written an eighth.
+// eighths to caches. Values are bounded apart, by an eighth of the memory for clients and by the connections to
+// caches; an open operation without them holds some 4 KiB, and all may fill a sixteenth of the memory.
 func (c *Config) derive() {
 	sockets := c.Sockets - 32
 	c.Clients = sockets / 2
 	c.Spare = max(1, c.Clients/16)
 	c.Caches = sockets * 3 / 8
-	c.Open = c.Memory / 4 / (2 * 64 << 10)
+	c.Open = c.Memory / 16 / (4 << 10)
 	if c.OpenCap > 0 {
 		c.Open = min(c.Open, c.OpenCap)
 	}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -44,6 +44,14 @@
 	}
 }
 
+// The least memory must do for the operations that a second of four times the usual load has open.
+func TestLeastMemoryHoldsTheLoad(t *testing.T) {
+	c := Config{Sockets: 256, Memory: 32 << 20}
+	if c.derive(); c.Open < 320 || c.Open*4<<10+c.Held+c.Caches*64<<10 > c.Memory/2 {
+		t.Errorf("%d operations may be open, %d bytes held, %d connections to caches", c.Open, c.Held, c.Caches)
+	}
+}
+
 func TestDefaults(t *testing.T) {
 	c, err := Parse([]byte(least), env)
 	if err != nil {
