--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -26,8 +26,8 @@
 	unread    = 32   // answers owed to one connection before its next commands are left in the socket
 	patience  = 10   // seconds without a byte of an answer being read; several times the longest hard stops seen
 	begins    = 2    // seconds for a command to become whole, or to come at all: clients connect to send at once
-	settled   = 1    // seconds without a byte; a client that means to send at once has done so
-	arriving  = 0.1  // the same for one that has sent nothing usable yet: many round trips, where a place is sought
+	settled   = 1    // seconds without a byte, after which a connection that has been used is not needed now
+	arriving  = 0.1  // the same where a place is sought, also for one that has just come: it means to send at once
 	kept      = 2    // seconds that an idle connection is kept; where half of the places are taken, settled
 	faults    = 3    // commands that can't be used, after which a connection ends: a person may mistype
 	recent    = 4096 // ids remembered: the operations of some seconds at a thousand a second
@@ -123,6 +123,7 @@
 
 // evict closes the connection that has been idle for longest, if any has been for a while: one that has just come
 // is about to be written to. Those that never sent what can be used go first: they take no usual client's place.
+// With a longer while, clients that ask once and stay hold all places, and who waits to be accepted runs out of time.
 func (f *Front) evict() bool {
 	var oldest *client
 	for c := range f.clients {
@@ -130,7 +131,7 @@
 		if oldest != nil && c.useful != oldest.useful {
 			before = oldest.useful
 		}
-		if before && (quiet > settled || quiet > arriving && !c.useful) && (c.idle() || c.mute()) {
+		if before && quiet > arriving && (c.idle() || c.mute()) {
 			oldest = c
 		}
 	}
