Make room for new clients from half of the places on

Clients hold a third of the descriptors themselves, 128 of 384; their idle connections lay here, below the bound of 176, for 1 to 2 s, and they had none left for the next request. Now from half of the places on each new connection takes the place of the longest idle one. At fault: Accepted, at the bound only.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -114,7 +114,8 @@
 // Accepted takes a new connection.
 func (f *Front) Accepted(conn *sock.Conn) sock.Handler {
 	c := &client{f: f, conn: conn, used: f.loop.Now(), came: f.loop.Now()}
-	if len(f.clients) >= f.limits.Connections && !f.evict() {
+	// From half of the places on one makes room for another: clients may hold only so many themselves.
+	if n := len(f.clients); n >= f.limits.Connections/2 && !f.evict() && n >= f.limits.Connections {
 		c.surplus = true
 	}
 	f.clients[c] = true
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -309,6 +309,34 @@
 	}
 }
 
+// Clients that ask once and stay come faster than idle connections run out: long before all places are taken each new
+// one takes the place of the longest idle, for clients hold only a part of the descriptors themselves.
+func TestIdleMakeRoomBeforeAllIsTaken(t *testing.T) {
+	s := serve(t, Limits{Connections: 4, Spare: 1, Open: 10, Held: 1 << 20})
+	var first *bufio.Reader
+	for i := range 3 {
+		conn, in := s.dial()
+		fmt.Fprintf(conn, "mn\r\n")
+		want(t, in, "SERVER_ERROR starting\r\n")
+		if i == 0 {
+			first = in
+		}
+		s.do(func() {
+			for c := range s.clients {
+				c.used -= 2 * arriving
+			}
+		})
+	}
+	if _, err := first.ReadByte(); err != io.EOF {
+		t.Errorf("the longest idle stays, %v", err)
+	}
+	s.do(func() {
+		if s.Clients() != 2 {
+			t.Errorf("%d are left", s.Clients())
+		}
+	})
+}
+
 // Of those that hold the places, one that never sent anything usable goes first, however short its silence is.
 func TestSilentMakeRoom(t *testing.T) {
 	s := serve(t, Limits{Connections: 2, Spare: 1, Open: 10, Held: 1 << 20})
