Let the core take any module through an interface

Need: a laboratory of the project's own is to set the decisions beside baselines on the same core and sockets. Change: router.New and service.Run take a Maker; router.Logic is the product's. Nothing else moves.

--- a/cmd/bendtrestle/main.go
+++ b/cmd/bendtrestle/main.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bendtrestle/internal/config"
+	"bendtrestle/internal/router"
 	"bendtrestle/internal/service"
 
 	"github.com/rs/zerolog"
@@ -21,7 +22,7 @@
 	// A log that is read slowly loses lines rather than hold the loop up, and no trouble floods it.
 	lines := diode.NewWriter(os.Stderr, 1000, 0, func(lost int) { log.Warn().Int("lost", lost).Msg("log lines lost") })
 	sparse := zerolog.LevelSampler{WarnSampler: &zerolog.BurstSampler{Burst: 20, Period: time.Second}}
-	err = service.Run(conf, log.Output(lines).Sample(sparse))
+	err = service.Run(conf, router.Logic, log.Output(lines).Sample(sparse))
 	lines.Close()
 	if err != nil {
 		log.Fatal().Err(err).Msg("the router cannot run")
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -57,7 +57,7 @@
 	l.Post(func() {
 		r := router.New(logic.Settings{Cancelling: true, TrafficTypes: []logic.TrafficType{{Name: "t",
 			Effect: logic.Reissuable, PromisedTime: 1000, HardStop: 5000, Benefit: 1}}}, router.Outside{Clock: l,
-			Caches: s.caches, Tell: func([]byte) {}, Watch: func(bool) {}, Log: zerolog.Nop()})
+			Caches: s.caches, Tell: func([]byte) {}, Watch: func(bool) {}, Log: zerolog.Nop()}, router.Logic)
 		r.Listed(logic.Snapshot, []logic.Member{{ID: 1, Mode: logic.InService, Capacity: 1}})
 		s.Front = New(l, r, limits, map[string]float64{"t": 5000})
 		_, err := l.Listen(s.addr, s.Room, s.Accepted)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -68,10 +68,28 @@
 	Log    zerolog.Logger
 }
 
+// Module makes the decisions. The product's is logic.Router; a laboratory may put another in its place, to see what
+// the decisions alone are worth.
+type Module interface {
+	Arrived(now float64, id uint64, kind, realm, key string, write bool, left float64)
+	Settled(now float64, id uint64, n int, how logic.Outcome, lag float64, final bool)
+	Left(now float64, id uint64)
+	Listed(now float64, kind logic.ListKind, members []logic.Member)
+	Told(now float64, words []byte)
+	Probed(now float64, server uint64, how logic.Outcome)
+	Wake(now float64, name string)
+}
+
+// Maker starts a module.
+type Maker func(now float64, set logic.Settings, host logic.Host) Module
+
+// Logic makes the product's module.
+func Logic(now float64, set logic.Settings, host logic.Host) Module { return logic.New(now, set, host) }
+
 // Router is one instance: the module and what it has taken.
 type Router struct {
 	Outside
-	module *logic.Router
+	module Module
 	ops    map[uint64]*operation
 	last   uint64
 	Counts Counts
@@ -96,10 +114,10 @@
 	pending Pending
 }
 
-// New starts the module.
-func New(set logic.Settings, out Outside) *Router {
+// New starts the module that decides.
+func New(set logic.Settings, out Outside, module Maker) *Router {
 	r := &Router{Outside: out, ops: map[uint64]*operation{}}
-	r.module = logic.New(out.Clock.Now(), set, r)
+	r.module = module(out.Clock.Now(), set, r)
 	return r
 }
 
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -40,7 +40,7 @@
 	o := &outside{now: 1000}
 	r := New(logic.Settings{Cancelling: true, MostExecutions: 3, TrafficTypes: []logic.TrafficType{
 		{Name: "t", Effect: effect, PromisedTime: 0.1, HardStop: 0.5, Benefit: 1}}},
-		Outside{Clock: o, Caches: o, Tell: func([]byte) {}, Watch: func(bool) {}, Log: zerolog.Nop()})
+		Outside{Clock: o, Caches: o, Tell: func([]byte) {}, Watch: func(bool) {}, Log: zerolog.Nop()}, Logic)
 	r.Listed(logic.Snapshot, []logic.Member{{ID: 1, Mode: logic.InService, Capacity: 1},
 		{ID: 2, Mode: logic.InService, Capacity: 1}})
 	return r, o
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -68,8 +68,8 @@
 	stop context.CancelFunc
 }
 
-// Run serves until the router has ended.
-func Run(conf config.Config, log zerolog.Logger) error {
+// Run serves until the router has ended; module starts its decisions.
+func Run(conf config.Config, module router.Maker, log zerolog.Logger) error {
 	// Two at least: with one, the runtime's monitor finds none idle and takes it from the loop at each wait for events.
 	runtime.GOMAXPROCS(max(2, int(math.Ceil(conf.Cores))))
 	// Of the runtime's memory. The kernel's buffers of a thousand sockets may count as well, at some 64 KiB each.
@@ -79,7 +79,7 @@
 	}
 	signals := make(chan os.Signal, 8)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	s, err := assemble(conf, log)
+	s, err := assemble(conf, module, log)
 	if err != nil {
 		return err
 	}
@@ -139,7 +139,7 @@
 }
 
 // assemble puts the parts together, from the caches to the clients.
-func assemble(conf config.Config, log zerolog.Logger) (*Service, error) {
+func assemble(conf config.Config, module router.Maker, log zerolog.Logger) (*Service, error) {
 	loop, err := sock.New()
 	if err != nil {
 		return nil, err
@@ -161,7 +161,7 @@
 	c.Settings.Ordered = false // answers come in the order of a connection, but each execution has one of its own
 	watch := func(on bool) {}  // the list is watched in any case
 	s.router = router.New(c.Settings, router.Outside{Clock: s.loop, Caches: s.fleet, Tell: s.peers.Tell,
-		Watch: watch, Log: s.log})
+		Watch: watch, Log: s.log}, module)
 	hardStops := map[string]float64{}
 	for _, t := range c.Settings.TrafficTypes {
 		hardStops[t.Name] = t.HardStop
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"bendtrestle/internal/config"
+	"bendtrestle/internal/router"
 
 	"github.com/rs/zerolog"
 )
@@ -69,7 +70,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if s, err = assemble(conf, zerolog.Nop()); err != nil {
+	if s, err = assemble(conf, router.Logic, zerolog.Nop()); err != nil {
 		t.Fatal(err)
 	}
 	ended = make(chan error, 1)
@@ -193,7 +194,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s, err := assemble(conf, zerolog.Nop())
+	s, err := assemble(conf, router.Logic, zerolog.Nop())
 	if err != nil {
 		t.Fatal(err)
 	}
