--- a/cmd/trestlelab/main.go
+++ b/cmd/trestlelab/main.go
@@ -87,7 +87,7 @@
 func (p place) prepare() (lab.Options, func(keep bool), error) {
 	o, clean := lab.Options{Net: p.Net, Dir: p.Keep}, func(bool) {}
 	if o.Net == 0 {
-		n, err := lab.FreeNet(os.Getpid())
+		n, _, err := lab.Reserve(os.Getpid()) // held until the program ends
 		if err != nil {
 			return o, clean, err
 		}
@@ -170,8 +170,9 @@
 type compareCommand struct {
 	Scenario []string `arg:"" type:"existingfile" help:"The scenarios' files."`
 	A        string   `help:"One router: head, a program's path, a revision, or a baseline." default:"head"`
-	B        string   `help:"The other." required:""`
+	B        []string `help:"The others, each set beside the first." required:""`
 	Seeds    int      `help:"Pairs." default:"5"`
+	Lanes    int      `help:"Seeds that are played at once: a lane wants a core." default:"1"`
 	Seed     uint64   `help:"The first pair's." default:"1"`
 	JSON     string   `help:"File for all figures." type:"path" name:"json"`
 	place
@@ -191,23 +192,28 @@
 		return err
 	}
 	defer clean(false)
-	a, err := lab.Resolve(ctx, c.A, o.Dir)
-	if err != nil {
-		return faulty(err)
-	}
-	b, err := lab.Resolve(ctx, c.B, o.Dir)
-	if err != nil {
-		return faulty(err)
+	var programs []lab.Program
+	for _, name := range append([]string{c.A}, c.B...) {
+		program, err := lab.Resolve(ctx, name, o.Dir)
+		if err != nil {
+			return faulty(err)
+		}
+		programs = append(programs, program)
 	}
 	var done []lab.Comparison
 	for _, s := range all {
 		o.Progress, o.Seed = progress(), c.Seed
-		one, err := lab.Compare(ctx, s, a, b, o, c.Seeds, os.Stderr)
+		if c.Lanes > 1 {
+			o.Progress = nil
+		}
+		these, err := lab.Compare(ctx, s, programs, o, c.Seeds, c.Lanes, os.Stderr)
 		if err != nil {
 			return err
 		}
-		lab.PrintComparison(os.Stdout, one)
-		done = append(done, one)
+		for _, one := range these {
+			lab.PrintComparison(os.Stdout, one)
+		}
+		done = append(done, these...)
 	}
 	if c.JSON != "" {
 		return lab.WriteJSON(c.JSON, done)
--- a/internal/lab/alone.go
+++ b/internal/lab/alone.go
@@ -76,6 +76,7 @@
 func RunFleet(ctx context.Context, s *Scenario, o Options, config string, out io.Writer) error {
 	w := &world{s: s, o: o, types: s.types()}
 	if err := w.build(); err != nil {
+		w.abandon()
 		return err
 	}
 	ended := make(chan error, 2)
--- a/internal/lab/build.go
+++ b/internal/lab/build.go
@@ -28,7 +28,7 @@
 	}
 	if at, err := os.Stat(name); err == nil && !at.IsDir() {
 		path, err := filepath.Abs(name)
-		return Program{Name: name, Args: []string{path}}, err
+		return Program{Name: filepath.Base(name), Args: []string{path}}, err
 	}
 	commit, err := output(ctx, ".", "git", "rev-parse", "--verify", "--quiet", name+"^{commit}")
 	if err != nil {
--- a/internal/lab/compare.go
+++ b/internal/lab/compare.go
@@ -1,10 +1,15 @@
 package lab
 
 import (
+	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math"
+	"os"
+	"path/filepath"
+	"sync"
 	"text/tabwriter"
 
 	"gonum.org/v1/gonum/stat"
@@ -38,7 +43,7 @@
 	A       float64 `json:"a"`
 	B       float64 `json:"b"`
 	Mean    float64 `json:"a_less_b"`
-	Noise   float64 `json:"noise"` // half the width of the 95% interval of the mean, by Student's t
+	Noise   float64 `json:"noise"` // -1 with one pair, else half the width of the 95% interval of the mean, by Student's t
 	Better  string  `json:"better"`
 }
 
@@ -64,13 +69,13 @@
 			x, y := m.of(a[i].Figures), m.of(b[i].Figures)
 			xs, ys, ds = append(xs, x), append(ys, y), append(ds, x-y)
 		}
-		d := Difference{Measure: m.Name, A: stat.Mean(xs, nil), B: stat.Mean(ys, nil), Noise: math.Inf(1), Better: "-"}
+		d := Difference{Measure: m.Name, A: stat.Mean(xs, nil), B: stat.Mean(ys, nil), Noise: -1, Better: "-"}
 		d.Mean = d.A - d.B
 		if n := float64(len(ds)); n >= 2 {
 			t := distuv.StudentsT{Mu: 0, Sigma: 1, Nu: n - 1}.Quantile(0.975)
 			d.Noise = t * stat.StdDev(ds, nil) / math.Sqrt(n)
 		}
-		if math.Abs(d.Mean) > d.Noise {
+		if d.Noise >= 0 && math.Abs(d.Mean) > d.Noise {
 			if d.Better = "A"; d.Mean*float64(m.Better) < 0 {
 				d.Better = "B"
 			}
@@ -80,44 +85,86 @@
 	return all
 }
 
-// Compare plays both on each seed, turn about: the one that was first with one seed is second with the next. A pair of
-// which one is void is played once more, and left out if it is void again.
-func Compare(ctx context.Context, s *Scenario, a, b Program, o Options, seeds int, note io.Writer) (Comparison, error) {
-	c := Comparison{Scenario: s.Name, A: a.Name, B: b.Name}
-	var as, bs []Result
+// Compare plays all routers on each seed, turn about: the one that was first with one seed is second with the next. The
+// first is set beside each of the others. A void run is played once more; where it is void again, its pairs are left out.
+// Lanes says how many seeds are played at once, each at addresses of its own.
+func Compare(ctx context.Context, s *Scenario, all []Program, o Options, seeds, lanes int, note io.Writer) ([]Comparison, error) {
+	rounds, failures := make([][]Result, seeds), make([]error, seeds)
+	var lane sync.WaitGroup
+	turn := make(chan int, seeds)
 	for i := range seeds {
-		o.Seed += min(uint64(i), 1)
-		var pair [2]Result
-		for try := 0; try < 2; try++ {
-			for turn := range 2 {
-				which := (turn + i) % 2
-				o.Router = [2]Program{a, b}[which]
-				rec, err := Play(ctx, s, o)
-				if err != nil {
-					return c, fmt.Errorf("%s: %w", o.Router.Name, err)
+		turn <- i
+	}
+	close(turn)
+	for n := range max(1, lanes) {
+		lane.Add(1)
+		go func() {
+			defer lane.Done()
+			mine, release := o, func() {}
+			if n > 0 { // the first lane has the place that was asked for
+				var err error
+				if mine.Net, release, err = Reserve(o.Net + n); err != nil {
+					return // the other lanes play its seeds
 				}
-				if pair[which] = NewResult(s, o, rec); rec.Interrupted {
-					return c, context.Canceled
+			}
+			defer release()
+			for i := range turn {
+				mine.Seed = o.Seed + uint64(i)
+				mine.Dir = filepath.Join(o.Dir, fmt.Sprintf("%s-%d", s.Name, mine.Seed))
+				if failures[i] = os.MkdirAll(mine.Dir, 0o755); failures[i] == nil {
+					rounds[i], failures[i] = round(ctx, s, all, mine, i)
 				}
 			}
-			if pair[0].Void == "" && pair[1].Void == "" {
-				break
+		}()
+	}
+	lane.Wait()
+	if err := errors.Join(failures...); err != nil {
+		return nil, err
+	}
+	var done []Comparison
+	for other := 1; other < len(all); other++ {
+		c := Comparison{Scenario: s.Name, A: all[0].Name, B: all[other].Name}
+		var as, bs []Result
+		for _, r := range rounds {
+			a, b := r[0], r[other]
+			c.Runs = append(c.Runs, a, b)
+			if a.Void != "" || b.Void != "" {
+				c.Left++
+				fmt.Fprintf(note, "%s, seed %d is left out: %s\n", s.Name, a.Seed, cmp.Or(a.Void, b.Void))
+				continue
 			}
+			c.RulesA += min(1, len(a.Breaches))
+			c.RulesB += min(1, len(b.Breaches))
+			as, bs = append(as, a), append(bs, b)
 		}
-		c.Runs = append(c.Runs, pair[0], pair[1])
-		if pair[0].Void != "" || pair[1].Void != "" {
-			c.Left++
-			fmt.Fprintf(note, "seed %d is left out: %s%s\n", o.Seed, pair[0].Void, pair[1].Void)
-			continue
+		if c.Pairs = len(as); c.Pairs > 0 {
+			c.Differences = Differ(as, bs)
 		}
-		c.RulesA += min(1, len(pair[0].Breaches))
-		c.RulesB += min(1, len(pair[1].Breaches))
-		as, bs = append(as, pair[0]), append(bs, pair[1])
+		done = append(done, c)
 	}
-	if c.Pairs = len(as); c.Pairs > 0 {
-		c.Differences = Differ(as, bs)
+	return done, nil
+}
+
+// round plays all routers on one seed; which is first goes round with the seeds.
+func round(ctx context.Context, s *Scenario, all []Program, o Options, first int) ([]Result, error) {
+	results := make([]Result, len(all))
+	for turn := range all {
+		which := (turn + first) % len(all)
+		o.Router = all[which]
+		for range 2 {
+			rec, err := Play(ctx, s, o)
+			if err != nil {
+				return nil, fmt.Errorf("%s: %w", o.Router.Name, err)
+			}
+			if rec.Interrupted {
+				return nil, context.Canceled
+			}
+			if results[which] = NewResult(s, o, rec); results[which].Void == "" {
+				break
+			}
+		}
 	}
-	return c, nil
+	return results, nil
 }
 
 // PrintComparison writes one table.
--- /dev/null
+++ b/internal/lab/helpers_test.go
@@ -0,0 +1,169 @@
+package lab
+
+import (
+	"context"
+	"os"
+	"strings"
+	"testing"
+
+	"bendtrestle/internal/config"
+	"bendtrestle/internal/lab/baseline"
+	"bendtrestle/internal/router"
+	"bendtrestle/internal/service"
+	"bendtrestle/internal/standin"
+	"bendtrestle/logic"
+
+	"github.com/rs/zerolog"
+)
+
+// TestMain lets the test's own program be a router: the product's, a baseline, or one that breaks a rule.
+func TestMain(m *testing.M) {
+	as := os.Getenv("LAB_ROUTER")
+	switch {
+	case as == "":
+		os.Exit(m.Run())
+	case strings.HasPrefix(as, "bad:"):
+		scripted(strings.TrimPrefix(as, "bad:"))
+		return
+	}
+	make := router.Maker(router.Logic)
+	if as != "logic" {
+		var err error
+		if make, err = baseline.Maker(as); err != nil {
+			panic(err)
+		}
+	}
+	conf, err := config.Read(os.Getenv)
+	if err != nil {
+		panic(err)
+	}
+	if err = service.Run(conf, make, zerolog.New(os.Stderr).With().Timestamp().Logger()); err != nil {
+		panic(err)
+	}
+}
+
+// as gives this program as a router.
+func as(t *testing.T, name string) Program {
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return Program{Name: name, Args: []string{"/usr/bin/env", "LAB_ROUTER=" + name, self}}
+}
+
+// played plays a scenario with a router. On a machine that is busy with other things the lab may run late; then it is
+// played again, for a void run says nothing.
+func played(t *testing.T, s *Scenario, program Program) Result {
+	t.Helper()
+	for try := 0; ; try++ {
+		n, release, err := Reserve(os.Getpid())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer release()
+		o := Options{Seed: 3, Router: program, Net: n, Dir: t.TempDir()}
+		rec, err := Play(context.Background(), s, o)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r := NewResult(s, o, rec)
+		if r.Verdict != RunVoid {
+			return r
+		}
+		if try == 4 {
+			t.Skipf("void five times: %s", r.Void)
+		}
+	}
+}
+
+const types = `
+[[type]]
+name = "read"
+share = 0.7
+effect = "reissuable"
+work_ms = 3
+size = 100
+promised_ms = 150
+hard_stop_ms = 500
+benefit = 5
+[[type]]
+name = "put"
+share = 0.2
+write = true
+effect = "numbered"
+group = "zone"
+window = 3
+work_ms = 3
+size = 100
+promised_ms = 300
+hard_stop_ms = 600
+benefit = 3
+[[type]]
+name = "pay"
+share = 0.1
+write = true
+effect = "at-most-once"
+work_ms = 3
+size = 100
+promised_ms = 300
+hard_stop_ms = 600
+benefit = 3
+`
+
+func scenario(t *testing.T, text string) *Scenario {
+	t.Helper()
+	s, err := ParseScenario("test.toml", text+types)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// A run of one operation, in a book that a test fills. Times are seconds after 1000.
+type story struct {
+	s   *Scenario
+	rec *Records
+	op  *standin.Op
+}
+
+var kindsOf = map[string]*standin.TrafficType{
+	"read": {Name: "read", Effect: logic.Reissuable, Benefit: 1, Promised: 0.1, HardStop: 0.5},
+	"put":  {Name: "put", Write: true, Effect: logic.Numbered, Group: logic.Zone, Window: 2, Benefit: 1, Promised: 0.1, HardStop: 5},
+	"pay":  {Name: "pay", Write: true, Effect: logic.AtMostOnce, Benefit: 1, Promised: 0.1, HardStop: 0.5},
+}
+
+func server(name, zone string) *standin.Server {
+	return &standin.Server{Spec: standin.Spec{Name: name, Zone: zone}}
+}
+
+func tell(kind string) *story {
+	usual := Usual()
+	st := &story{s: &usual, rec: &Records{From: 1000, To: 1010, Fleet: &standin.Book{}, Clients: &standin.ClientBook{},
+		FleetLate: &standin.Lateness{}, ClientsLate: &standin.Lateness{}, Told: make([][]standin.Told, 2)}}
+	st.op = &standin.Op{Type: kindsOf[kind], Key: "k", Due: 1001}
+	st.rec.Clients.Ops = append(st.rec.Clients.Ops, st.op)
+	return st
+}
+
+// try adds a try at router 0, from 1 s on.
+func (st *story) try(id string, how standin.End, ended float64) *standin.Try {
+	t := &standin.Try{Op: st.op, ID: id, Began: 1001, Sent: 1001, Wait: 0.4, Ended: 1000 + ended, How: how, Got: 7}
+	st.op.Tries = append(st.op.Tries, t)
+	st.op.How, st.op.Done = how, t.Ended
+	return t
+}
+
+// run adds an execution that came whole at a time.
+func (st *story) run(id string, on *standin.Server, at float64, how standin.How) *standin.Execution {
+	x := &standin.Execution{ID: id, Server: on, Type: st.op.Type, First: 1000 + at, Last: 1000 + at, End: 1000 + at + 0.01, How: how, Made: 7}
+	st.rec.Fleet.Executions = append(st.rec.Fleet.Executions, x)
+	return x
+}
+
+// broken gives the rules that were broken, in order.
+func (st *story) broken() (rules []int) {
+	for _, b := range Judge(st.s, st.rec).Breaches {
+		rules = append(rules, b.Rule)
+	}
+	return rules
+}
--- /dev/null
+++ b/internal/lab/judge_test.go
@@ -0,0 +1,205 @@
+package lab
+
+import (
+	"slices"
+	"strings"
+	"testing"
+
+	"bendtrestle/internal/standin"
+)
+
+// Each breach is caught, and what looks like one but is not is left alone.
+func TestJudge(t *testing.T) {
+	a, b, far := server("s-1", "z1"), server("s-2", "z1"), server("s-3", "z2")
+	for name, c := range map[string]struct {
+		kind  string
+		write func(st *story)
+		want  []int
+	}{
+		"all in order": {"read", func(st *story) {
+			st.try("x", standin.Finished, 1.05)
+			st.run("x", a, 1.01, standin.Answered)
+		}, nil},
+		"a made-up answer": {"read", func(st *story) {
+			st.try("x", standin.Finished, 1.05)
+			st.run("x", a, 1.01, standin.Answered).Made = 8
+		}, []int{1}},
+		"an answer made from a spoilt one": {"read", func(st *story) {
+			st.try("x", standin.Finished, 1.05)
+			st.run("x", a, 1.01, standin.Spoilt)
+		}, []int{1}},
+		"no answer": {"read", func(st *story) { st.try("x", standin.Silent, 1.45) }, []int{1}},
+		"no answer, for the router was killed": {"read", func(st *story) {
+			st.try("x", standin.Silent, 1.45)
+			st.rec.Lives = []Life{{From: 999, To: 1001.2, How: killed}}
+		}, nil},
+		"no answer, though it was another router that was killed": {"read", func(st *story) {
+			st.try("x", standin.Silent, 1.45)
+			st.rec.Lives = []Life{{Router: 1, From: 999, To: 1001.2, How: killed}}
+		}, []int{1}},
+		"no answer at a planned end": {"read", func(st *story) {
+			st.try("x", standin.Silent, 1.45)
+			st.rec.Lives = []Life{{From: 999, Told: 1001, To: 1001.2, How: asked}}
+		}, []int{1}},
+		"lost after it was sent on": {"read", func(st *story) {
+			st.try("x", standin.Lost, 1.2)
+			st.run("x", a, 1.01, standin.Answered)
+		}, []int{1}},
+		"closed before anything was sent on": {"read", func(st *story) { st.try("x", standin.Lost, 1.2) }, nil},
+		"sent once more where the first was not read": {"read", func(st *story) {
+			x := st.try("x", standin.Finished, 1.2)
+			x.Again, x.AgainAt = true, 1001.1
+			st.run("x", a, 1.15, standin.Answered)
+		}, nil},
+		"sent once more where the first was read": {"read", func(st *story) {
+			x := st.try("x", standin.Finished, 1.2)
+			x.Again, x.AgainAt = true, 1001.1
+			st.run("x", a, 1.05, standin.Cancelled)
+			st.run("x", a, 1.15, standin.Answered)
+		}, []int{1}},
+		"sent after its answer": {"read", func(st *story) {
+			st.try("x", standin.Declined, 1.05)
+			st.run("x", a, 1.2, standin.Cancelled)
+		}, []int{1}},
+		"on its way when it was answered": {"read", func(st *story) {
+			st.try("x", standin.Declined, 1.05)
+			st.run("x", a, 1.08, standin.Cancelled)
+		}, nil},
+		"answered twice": {"read", func(st *story) {
+			st.try("x", standin.Finished, 1.05)
+			st.run("x", a, 1.01, standin.Answered)
+			st.rec.Clients.Twice = []string{"x"}
+		}, []int{1}},
+		"two copies of what may run again": {"read", func(st *story) {
+			st.try("x", standin.Finished, 1.05)
+			st.run("x", a, 1.01, standin.Cancelled)
+			st.run("x", b, 1.02, standin.Answered)
+		}, nil},
+		"at-most-once, sent again": {"pay", func(st *story) {
+			st.try("x", standin.Finished, 1.05)
+			st.run("x", a, 1.01, standin.Failed)
+			st.run("x", b, 1.02, standin.Answered)
+		}, []int{2}},
+		"at-most-once, sent again after it was turned away": {"pay", func(st *story) {
+			st.try("x", standin.Finished, 1.05)
+			st.run("x", a, 1.01, standin.TurnedAway)
+			st.run("x", b, 1.02, standin.Answered)
+		}, nil},
+		"at-most-once, declined though it may have run": {"pay", func(st *story) {
+			st.try("x", standin.Declined, 1.05)
+			st.run("x", a, 1.01, standin.Cancelled)
+		}, []int{2}},
+		"at-most-once, terminated after it may have run": {"pay", func(st *story) {
+			st.try("x", standin.Terminated, 1.05)
+			st.run("x", a, 1.01, standin.Cancelled)
+		}, nil},
+		"at-most-once, two effects of two tries": {"pay", func(st *story) {
+			st.try("x", standin.Declined, 1.05)
+			st.try("y", standin.Finished, 1.3)
+			st.run("x", a, 1.01, standin.Answered).Effect = true
+			st.run("y", b, 1.2, standin.Answered).Effect = true
+		}, []int{2, 2}},
+		"numbered, within group and window": {"put", func(st *story) {
+			st.try("x", standin.Finished, 1.05)
+			st.run("x", a, 1.01, standin.Cancelled)
+			st.run("x", b, 1.02, standin.Answered)
+		}, nil},
+		"numbered, outside its group": {"put", func(st *story) {
+			st.try("x", standin.Finished, 1.05)
+			st.run("x", a, 1.01, standin.Cancelled)
+			st.run("x", far, 1.02, standin.Answered)
+		}, []int{2}},
+		"numbered, after its window": {"put", func(st *story) {
+			st.try("x", standin.Finished, 4)
+			st.run("x", a, 1.01, standin.Cancelled)
+			st.run("x", b, 3.1, standin.Answered)
+		}, []int{2}},
+		"numbered in a narrow group, declined though it may have run": {"put", func(st *story) {
+			st.try("x", standin.Declined, 1.05)
+			st.run("x", a, 1.01, standin.Cancelled)
+		}, []int{2}},
+		"to a draining server within the grace": {"read", func(st *story) {
+			st.rec.Told[0] = []standin.Told{{At: 1000.6, Server: "s-1", Mode: standin.Draining}}
+			st.try("x", standin.Finished, 1.05)
+			st.run("x", a, 1.01, standin.Answered)
+		}, nil},
+		"to a draining server after the grace": {"read", func(st *story) {
+			st.rec.Told[0] = []standin.Told{{At: 1000.3, Server: "s-1", Mode: standin.Draining}, {At: 1000.9, Server: "s-1", Mode: standin.Gone}}
+			st.try("x", standin.Finished, 1.05)
+			st.run("x", a, 1.01, standin.Answered)
+		}, []int{3}},
+		"to one that was taken back": {"read", func(st *story) {
+			st.rec.Told[0] = []standin.Told{{At: 1000.1, Server: "s-1", Mode: standin.Draining}, {At: 1000.9, Server: "s-1", Mode: standin.Ready}}
+			st.try("x", standin.Finished, 1.05)
+			st.run("x", a, 1.01, standin.Answered)
+		}, nil},
+		"to one of which another router was told": {"read", func(st *story) {
+			st.rec.Told[1] = []standin.Told{{At: 1000.1, Server: "s-1", Mode: standin.Draining}}
+			st.try("x", standin.Finished, 1.05)
+			st.run("x", a, 1.01, standin.Answered)
+		}, nil},
+		"a cold server pushed over": {"read", func(st *story) {
+			st.try("x", standin.NoConnection, 1.05)
+			st.rec.Fleet.Falls = []standin.Fall{{At: 1002, Server: a}}
+		}, []int{4}},
+		"the origin stopped by misses at cold servers": {"read", func(st *story) {
+			st.try("x", standin.NoConnection, 1.05)
+			st.rec.Fleet.Halts = []standin.Halt{{At: 1002, ColdPart: 0.6}, {At: 1005, ColdPart: 0.4}}
+		}, []int{4}},
+		"a router ended by itself": {"read", func(st *story) {
+			st.try("x", standin.NoConnection, 1.05)
+			st.rec.Lives = []Life{{From: 999, To: 1003, How: crashed, Exit: 2}}
+		}, []int{0}},
+		"a router did not end in time": {"read", func(st *story) {
+			st.try("x", standin.NoConnection, 1.05)
+			st.rec.Lives = []Life{{From: 999, Told: 1001, To: 1003, How: killed}}
+		}, []int{0}},
+	} {
+		st := tell(c.kind)
+		c.write(st)
+		if got := st.broken(); !slices.Equal(got, c.want) {
+			t.Errorf("%s: rules broken %v, want %v", name, got, c.want)
+		}
+	}
+}
+
+// A breach while the lab itself was late is not held against the router: the run is void. Other breaches still count.
+func TestLateLabBlamesNobody(t *testing.T) {
+	st := tell("read")
+	st.try("x", standin.Silent, 1.45)
+	late := &standin.Lateness{}
+	for i := range 1000 {
+		late.Times, late.At = append(late.Times, 0.0001), append(late.At, 1000+float64(i)*0.01)
+	}
+	late.Times[140] = 0.08
+	st.rec.ClientsLate = late
+	if v := Judge(st.s, st.rec); len(v.Breaches) > 0 || !strings.Contains(v.Void, "late by more than 25 ms") || v.Kept() {
+		t.Errorf("near a late moment the verdict is %+v", v)
+	}
+	late.Times[140], late.Times[900] = 0, 0.08
+	if v := Judge(st.s, st.rec); len(v.Breaches) != 1 || v.Void != "" {
+		t.Errorf("far from a late moment the verdict is %+v", v)
+	}
+	for i := range 100 {
+		late.Times[i] = 0.02
+	}
+	if v := Judge(st.s, st.rec); !strings.Contains(v.Void, "ran late") {
+		t.Errorf("with a tenth of the looks late the verdict is %+v", v)
+	}
+}
+
+// A broken rule tells the operation's course.
+func TestCourse(t *testing.T) {
+	st := tell("pay")
+	st.try("x", standin.Finished, 1.05)
+	st.run("x", server("s-1", "z"), 1.01, standin.Failed)
+	st.run("x", server("s-2", "z"), 1.03, standin.Answered)
+	text := strings.Join(Judge(st.s, st.rec).Breaches[0].Course, "\n")
+	for _, want := range []string{"due: operation 0, pay, key k", "reaches s-1", "at s-1: failed", "reaches s-2", "ends: finished"} {
+		at := strings.Index(text, want)
+		if at < 0 {
+			t.Fatalf("%q is not in the course, or not in order:\n%s", want, text)
+		}
+		text = text[at:]
+	}
+}
--- a/internal/lab/play.go
+++ b/internal/lab/play.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/netip"
 	"os"
 	"slices"
@@ -63,6 +65,7 @@
 func Play(ctx context.Context, s *Scenario, o Options) (*Records, error) {
 	w := &world{s: s, o: o, types: s.types(), chance: rand.New(rand.NewPCG(o.Seed, 77))}
 	if err := w.build(); err != nil {
+		w.abandon()
 		return nil, err
 	}
 	ended := make(chan error, 2)
@@ -94,6 +97,13 @@
 	return rec, nil
 }
 
+// abandon lets go of what was built and never ran.
+func (w *world) abandon() {
+	if w.fleet != nil {
+		w.fleet.Close()
+	}
+}
+
 func (w *world) address(kind, n, port int) string {
 	return fmt.Sprintf("127.%d.%d.%d:%d", w.o.Net, kind+n/200, 1+n%200, port)
 }
@@ -338,14 +348,18 @@
 // TempDir makes a folder for a run.
 func TempDir() (string, error) { return os.MkdirTemp("", "trestlelab-") }
 
-// FreeNet finds a second number of loopback addresses at which nobody listens yet, beginning with one.
-func FreeNet(first int) (int, error) {
-	for i := range 100 {
+var reserved sync.Map // listeners by number
+
+// Reserve finds a second number of loopback addresses that no other lab on this machine uses, beginning with one, and
+// holds it until release is called.
+func Reserve(first int) (n int, release func(), err error) {
+	for i := range 200 {
 		n := 16 + (first+i)%200
-		at := netip.AddrFrom4([4]byte{127, byte(n), routersAt, 1})
-		if free(netip.AddrPortFrom(at, 11211).String()) == nil {
-			return n, nil
+		at := netip.AddrFrom4([4]byte{127, byte(n), 0, 1})
+		if ln, err := net.Listen("tcp", netip.AddrPortFrom(at, 11211).String()); err == nil {
+			reserved.Store(n, ln) // a listener that nobody holds would be closed by the collector
+			return n, func() { reserved.Delete(n); ln.Close() }, nil
 		}
 	}
-	return 0, fmt.Errorf("no loopback address from 127.%d.%d.1:11211 on is free", 16+first%200, routersAt)
+	return 0, nil, errors.New("no second number of loopback addresses is free")
 }
--- /dev/null
+++ b/internal/lab/play_test.go
@@ -0,0 +1,261 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"bendtrestle/internal/standin"
+)
+
+const short = `name = "short"
+seconds = 4
+settle = 0.5
+[fleet]
+servers = 5
+warm = 3
+[routers]
+count = 2
+[list]
+delay = 0.1
+spread = 0.1
+[clients]
+rate = 120
+`
+
+// Short days with each family of faults: whatever fails, the rules are kept and every operation has its end.
+func TestRulesAreKeptThroughFaults(t *testing.T) {
+	fault := func(kind, target, more string) string {
+		text := "[[fault]]\nkind = \"" + kind + "\"\n" + more + "\n"
+		if target != "" {
+			text += "target = \"" + target + "\"\n"
+		}
+		return text
+	}
+	for name, faults := range map[string]string{
+		"servers die": fault("crash", "server:1", "at = 0.8\nfor = 1.0") + fault("vanish", "server:2", "at = 1.2\nfor = 1.5") +
+			fault("restart", "server:3", "at = 2.0"),
+		"servers are slow": fault("stall", "servers:40%", "at = 0.8\nfor = 0.5") + fault("slow", "server:0", "at = 0.9\nfor = 2.0\nfactor = 5.0") +
+			fault("stall", "server:0", "at = 1.0\nfor = 0.6") + fault("ledger-slow", "", "at = 1.5\nfor = 1.0\nfactor = 4.0"),
+		"answers are bad": fault("spoil", "servers", "at = 0.8\nfor = 2.5\npart = 0.1") + fault("reset", "servers:2", "at = 1.0\nfor = 2.0\npart = 0.2") +
+			fault("error", "server:4", "at = 1.0\nfor = 2.0\npart = 0.3") + fault("refuse", "server:1", "at = 2.0\nfor = 1.0"),
+		"the fleet changes": fault("deploy", "servers:2", "at = 0.8\nfor = 1.5\ndrain = 1.2") + fault("shrink", "server:4", "at = 1.0\nfor = 0.1") +
+			fault("grow", "", "at = 1.5\ncount = 2") + fault("drain", "server:3", "at = 1.0\nfor = 1.5"),
+		"the list fails": fault("list-lag", "list:0", "at = 0.6\nfor = 1.0") + fault("drain", "server:1", "at = 0.8\nfor = 2.0") +
+			fault("list-old", "list:1", "at = 1.2\nfor = 0.8\ncount = 1") + fault("list-silent", "lists", "at = 2.2\nfor = 0.5") +
+			fault("list-refuse", "list:0", "at = 2.8\nfor = 0.4") + fault("list-move", "lists", "at = 3.3"),
+		"routers end":  fault("router-kill", "router:0", "at = 1.0\nfor = 0.6") + fault("router-restart", "router:1", "at = 2.2"),
+		"load goes up": fault("hot-key", "", "at = 0.8\nfor = 2.0\npart = 0.4") + fault("surge", "type:read", "at = 1.2\nfor = 1.5\nfactor = 8.0"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := played(t, scenario(t, short+faults), as(t, "logic"))
+			if r.Verdict != RulesKept {
+				t.Errorf("the verdict is %s", r.Verdict)
+				for _, b := range r.Breaches[:min(2, len(r.Breaches))] {
+					t.Log(b, "\n"+strings.Join(b.Course, "\n"))
+				}
+			}
+			if r.Figures.Operations < 100 {
+				t.Errorf("only %d operations came", r.Figures.Operations)
+			}
+		})
+	}
+}
+
+// A baseline drives the same core and keeps the same plain rules.
+func TestBaselinesServe(t *testing.T) {
+	for _, name := range []string{"random", "least", "ring", "bounded", "rendezvous"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := played(t, scenario(t, strings.Replace(short, "seconds = 4", "seconds = 2", 1)), as(t, name))
+			if r.Verdict != RulesKept || r.Figures.Whole < 0.9 {
+				t.Errorf("%s, %v of the benefit in time", r.Verdict, r.Figures.Whole)
+			}
+		})
+	}
+}
+
+func options(t *testing.T, program Program) Options {
+	n, release, err := Reserve(os.Getpid())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(release)
+	return Options{Seed: 1, Router: program, Net: n, Dir: t.TempDir()}
+}
+
+// An interrupt ends all processes, and what was played until then is marked as a part.
+func TestInterrupted(t *testing.T) {
+	t.Parallel()
+	ctx, stop := context.WithTimeout(context.Background(), time.Second)
+	defer stop()
+	s, o := scenario(t, strings.Replace(short, "seconds = 4", "seconds = 60", 1)), options(t, as(t, "logic"))
+	began := time.Now()
+	rec, err := Play(ctx, s, o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r := NewResult(s, o, rec); r.Verdict != Interrupted || time.Since(began) > 6*time.Second || len(rec.Clients.Ops) == 0 {
+		t.Errorf("after %v the verdict is %s, with %d operations", time.Since(began), r.Verdict, len(rec.Clients.Ops))
+	}
+	for _, l := range rec.Lives {
+		if l.To == 0 {
+			t.Errorf("router %d still runs", l.Router)
+		}
+	}
+}
+
+func TestRouterThatIsNeverReady(t *testing.T) {
+	t.Parallel()
+	o := options(t, Program{Name: "false", Args: []string{"/bin/false"}})
+	if _, err := Play(context.Background(), scenario(t, short), o); err == nil || !strings.Contains(err.Error(), "ended before it was ready, with exit status 1") {
+		t.Errorf("a program that ends at once: %v", err)
+	}
+}
+
+func TestTakenPort(t *testing.T) {
+	t.Parallel()
+	o := options(t, as(t, "logic"))
+	for _, at := range []string{fmt.Sprintf("127.%d.1.2:11211", o.Net), fmt.Sprintf("127.%d.10.3:11300", o.Net), fmt.Sprintf("127.%d.2.1:8500", o.Net)} {
+		ln, err := net.Listen("tcp", at)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, err = Play(context.Background(), scenario(t, short), o)
+		if err == nil || !strings.Contains(err.Error(), at) || !strings.Contains(err.Error(), "--net") {
+			t.Errorf("with %s taken: %v", at, err)
+		}
+		ln.Close()
+	}
+}
+
+// A router that holds more memory than it may is killed, as the platform does, and that is a crash.
+func TestMemoryIsWatched(t *testing.T) {
+	t.Parallel()
+	r := &node{dir: t.TempDir(), memoryMB: 1, sockets: 64, now: func() float64 { return float64(time.Now().UnixNano()) / 1e9 },
+		program: Program{Args: []string{"/bin/sh", "-c", "sleep 5"}}, conf: map[string]any{}}
+	if err := r.start(); err != nil {
+		t.Fatal(err)
+	}
+	<-r.ended
+	if l := r.history()[0]; l.How != tooLarge || l.MaxMemoryMB <= 1 {
+		t.Errorf("it ended as %+v", l)
+	}
+}
+
+// What a process was told and how it ended is kept, also when it does not end by itself.
+func TestProcessThatDoesNotEnd(t *testing.T) {
+	t.Parallel()
+	r := &node{dir: t.TempDir(), memoryMB: 1000, sockets: 64, now: func() float64 { return float64(time.Now().UnixNano()) / 1e9 },
+		program: Program{Args: []string{"/bin/sh", "-c", "trap '' TERM; while true; do sleep 0.05; done"}}, conf: map[string]any{"a": 1}}
+	if err := r.start(); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(200 * time.Millisecond)
+	r.stop(0.3)
+	if l := r.history()[0]; l.How != killed || l.Told == 0 {
+		t.Errorf("it ended as %+v", l)
+	}
+	if text, err := os.ReadFile(filepath.Join(r.dir, "router-0.json")); err != nil || !strings.Contains(string(text), `"a": 1`) {
+		t.Errorf("its configuration is %s, %v", text, err)
+	}
+	r.end(syscall.SIGKILL, killed) // one that has ended is left alone
+}
+
+// The clients alone, against any address: what they see is reckoned without a book at the other end.
+func TestLoadAlone(t *testing.T) {
+	t.Parallel()
+	if _, err := RunLoad(context.Background(), scenario(t, short), Options{}, []string{"192.0.2.1:11211"}); err == nil {
+		t.Error("an address elsewhere was taken")
+	}
+	s := scenario(t, strings.Replace(short, "seconds = 4", "seconds = 1.5", 1))
+	ctx, stop := context.WithCancel(context.Background())
+	o := options(t, as(t, "logic"))
+	config := filepath.Join(t.TempDir(), "router.json")
+	fleet := make(chan error)
+	go func() { fleet <- RunFleet(ctx, s, o, config, new(strings.Builder)) }()
+	r := &node{dir: t.TempDir(), memoryMB: 1000, sockets: 512, now: func() float64 { return float64(time.Now().UnixNano()) / 1e9 },
+		addr: fmt.Sprintf("127.%d.1.1:11211", o.Net)}
+	r.program = Program{Args: []string{"/bin/sh", "-c", "GW_CONFIG=" + config + " exec " + strings.Join(as(t, "logic").Args, " ")}}
+	for i := 0; i < 200; i++ {
+		if _, err := os.Stat(config); err == nil {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	if err := r.start(); err != nil {
+		t.Fatal(err)
+	}
+	if err := r.ready(5); err != nil {
+		t.Fatal(err)
+	}
+	l, err := RunLoad(context.Background(), s, Options{Seed: 1}, []string{r.addr})
+	r.stop(3)
+	stop()
+	if err != nil || <-fleet != nil {
+		t.Fatal(err)
+	}
+	if f := l.Figures; f.Operations < 60 || f.Whole < 0.8 || l.Silent+l.Lost+l.Twice > 0 {
+		t.Errorf("the clients saw %+v", l)
+	}
+}
+
+// Figures are of the operations that were due after the settling time, by when they were due.
+func TestFigures(t *testing.T) {
+	st := tell("read")
+	st.s.Settle, st.s.Seconds = 0.5, 10
+	st.op.Due = 1000.2 // within the settling time
+	st.try("w", standin.Finished, 1.05)
+	add := func(due, took float64, how standin.End, kind string) {
+		o := &standin.Op{Type: kindsOf[kind], Due: 1000 + due, Done: 1000 + due + took, How: how}
+		o.Tries = []*standin.Try{{Op: o, How: how, Sent: o.Due, Ended: o.Done}}
+		st.rec.Clients.Ops = append(st.rec.Clients.Ops, o)
+	}
+	for i := range 6 {
+		add(1+float64(i), 0.05, standin.Finished, "read")
+	}
+	add(7, 0.3, standin.Finished, "read")
+	add(7.1, 0.01, standin.Declined, "read")
+	add(7.2, 0.01, standin.Terminated, "pay")
+	add(7.3, 0.01, standin.Silent, "pay")
+	f := Reckon(st.s, st.rec)
+	if f.Operations != 10 || f.Whole != 0.6 || f.Late != 0.1 || f.Declined != 0.1 || f.Terminated != 0.1 || f.Unserved != 0.1 ||
+		f.WorstType != 0 || f.WorstName != "pay" || f.Worst > 0.3 || f.P50 < 49 || f.P50 > 51 || f.P99 < 299 || f.P99 > 301 {
+		t.Errorf("the figures are %+v", f)
+	}
+	if c := f.Course[7]; c.Due != 4 || c.Late != 1 || c.Declined != 1 || c.Terminated != 1 || c.Unserved != 1 || f.Course[1].InTime != 1 {
+		t.Errorf("the course is %+v", f.Course)
+	}
+}
+
+// A difference counts only beyond its noise.
+func TestDifferences(t *testing.T) {
+	runs := func(whole ...float64) (all []Result) {
+		for _, x := range whole {
+			all = append(all, Result{Figures: Figures{Whole: x, P99: 100 * x}})
+		}
+		return all
+	}
+	d := Differ(runs(0.9, 0.91, 0.89), runs(0.8, 0.8, 0.8))
+	if d[0].Better != "A" || d[0].Noise > 0.03 || d[0].Noise < 0.02 {
+		t.Errorf("a clear difference is %+v", d[0])
+	}
+	for _, x := range d {
+		if x.Measure == "p99 ms" && x.Better != "B" { // less is better
+			t.Errorf("the times are %+v", x)
+		}
+	}
+	if d = Differ(runs(0.9, 0.7, 0.8), runs(0.8, 0.8, 0.7)); d[0].Better != "-" {
+		t.Errorf("a difference within the noise is %+v", d[0])
+	}
+	if d = Differ(runs(0.9), runs(0.1)); d[0].Better != "-" {
+		t.Errorf("a single pair says %+v", d[0])
+	}
+}
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -61,7 +61,10 @@
 	return os.WriteFile(path, append(text, '\n'), 0o644)
 }
 
-const shown = 3 // breaches whose course is printed: the first tell the cause
+const (
+	shown   = 3  // breaches whose course is printed: the first tell the cause
+	longest = 40 // lines of a course: a screen
+)
 
 // Print writes one table for all runs, and what a reader needs to look further.
 func Print(out io.Writer, s *Scenario, results []Result, logs string) {
@@ -123,7 +126,11 @@
 			break
 		}
 		fmt.Fprintf(out, "BROKEN at %.3f s, seed %d, %v\n", b.At, r.Seed, b)
-		for _, line := range b.Course {
+		for n, line := range b.Course {
+			if n >= longest {
+				fmt.Fprintf(out, "    and %d lines more\n", len(b.Course)-longest)
+				break
+			}
 			fmt.Fprintln(out, "    "+line)
 		}
 	}
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -136,11 +136,11 @@
 	return Scenario{
 		Seconds: 10, Settle: 1,
 		Fleet: FleetPart{Servers: 6, Zones: 2, Cell: 3, Cores: 1, Speed: []float64{1, 1}, Queue: 400, PerConnection: 100,
-			Connections: 800, HandshakeMS: 0.5, Idle: 60, Keep: 2000, Cancels: true, Filled: 0.2, ColdFrom: 0.35, Warm: 6},
-		Ledger:  LedgerPart{AtOnce: 8, TakesMS: 40, Multiple: 3, Within: 3, Halt: 3},
+			Connections: 800, HandshakeMS: 0.5, Idle: 60, Keep: 400, Cancels: true, Filled: 0.2, ColdFrom: 0.35, Warm: 6},
+		Ledger:  LedgerPart{AtOnce: 16, TakesMS: 30, Multiple: 3, Within: 3, Halt: 3},
 		List:    ListPart{Delay: 0.3, Spread: 0.3},
 		Routers: RoutersPart{Count: 2, Cores: 1, MemoryMB: 64, Sockets: 512},
-		Clients: ClientsPart{Rate: 200, Keys: 5000, Zipf: 0.9, Retries: 2, TryShare: 0.55, PauseMS: 20, Honour: 0.6,
+		Clients: ClientsPart{Rate: 200, Keys: 2000, Zipf: 0.9, Retries: 2, TryShare: 0.55, PauseMS: 20, Honour: 0.6,
 			Connections: "kept", Most: 120},
 		Rules: RulesPart{GraceMS: 500, Fall: 3, Multiple: 4, MostExecutions: 5, SecondCopies: true, RetryAfter: true},
 	}
--- /dev/null
+++ b/internal/lab/scenario_test.go
@@ -0,0 +1,73 @@
+package lab
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// Every scenario of the examples can be read.
+func TestExamples(t *testing.T) {
+	paths, err := filepath.Glob("../../examples/scenarios/*.toml")
+	if err != nil || len(paths) < 12 {
+		t.Fatalf("%d scenarios, %v", len(paths), err)
+	}
+	for _, path := range paths {
+		s, err := ReadScenario(path)
+		if err != nil {
+			t.Error(err)
+		} else if s.Name+".toml" != filepath.Base(path) || s.About == "" {
+			t.Errorf("%s is called %s and about %q", path, s.Name, s.About)
+		}
+	}
+}
+
+// A scenario that cannot be played is told whole, with line and key, before anything starts.
+func TestFaultsOfScenarios(t *testing.T) {
+	const head = "name = \"s\"\nseconds = 10\n"
+	for text, want := range map[string]string{
+		"[[fault]]\nkind = \"quake\"\nat = 1":                                                                                   `test.toml:4: fault.0.kind: "quake" is not a fault; there are crash, deploy,`,
+		"[[fault]]\nkind = \"stall\"\ntarget = \"server:9\"\nat = 1\nfor = 1":                                                   `test.toml:5: fault.0.target: "server:9": "9" is not a number from 0 to 5`,
+		"[[fault]]\nkind = \"stall\"\ntarget = \"router:0\"\nat = 1\nfor = 1":                                                   `fault.0.target: "router:0" is not server:NUMBER`,
+		"[[fault]]\nkind = \"stall\"\ntarget = \"servers\"\nat = 11\nfor = 1":                                                   `test.toml:6: fault.0.at: 11 is past the end, 10`,
+		"[[fault]]\nkind = \"stall\"\ntarget = \"servers\"\nat = 9\nfor = 2":                                                    `test.toml:7: fault.0.for: it ends at 11, past the end, 10`,
+		"[[fault]]\nkind = \"stall\"\ntarget = \"servers\"\nat = 9":                                                             `fault.0.for: 0 is not above 0`,
+		"[[fault]]\nkind = \"slow\"\ntarget = \"servers\"\nat = 1\nfor = 1":                                                     `fault.0.factor: 0 is not above 0 and between 1 and 1000`,
+		"[[fault]]\nkind = \"stall\"\ntarget = \"servers\"\nat = 1\nfor = 1\nfactor = 2.0":                                      `fault.0.factor: stall has none`,
+		"[[fault]]\nkind = \"surge\"\ntarget = \"type:other\"\nat = 1\nfor = 1\nfactor = 2.0":                                   `"type:other": there is no such type`,
+		"[[fault]]\nkind = \"router-kill\"\ntarget = \"routers:101%\"\nat = 1\nfor = 1":                                         `is not a number from 1 to 100`,
+		"[[fault]]\nkind = \"hot-key\"\ntarget = \"server:1\"\nat = 1\nfor = 1\npart = 0.5":                                     `"server:1": this fault has none`,
+		"[fleet]\nservers = 0\nspeed = [2.0, 1.0]":                                                                              `test.toml:4: fleet.servers: 0 is not between 1 and 400`,
+		"[fleet]\nspeed = [2.0, 1.0]":                                                                                           `fleet.speed: [2 1] is not a least and a largest speed above 0`,
+		"[fleet]\nserver = 3":                                                                                                   `test.toml:4: fleet.server: unknown key`,
+		"[clients]\nconnections = \"some\"":                                                                                     `clients.connections: "some" is not kept, new or once`,
+		"[routers]\nskew = [1.0]":                                                                                               `routers.skew: 1 weights for 2 routers`,
+		"[[type]]\nname = \"read\"\nshare = 1\neffect = \"maybe\"\nwork_ms = 1\npromised_ms = 9":                                `type.0.effect: "maybe" is not reissuable, numbered or at-most-once`,
+		"[[type]]\nname = \"a\"\nshare = 1\neffect = \"numbered\"\nwork_ms = 1\npromised_ms = 9\nhard_stop_ms = 5\nbenefit = 1": `type.0.hard_stop_ms: 5 is below the promised time, 9`,
+	} {
+		_, err := ParseScenario("test.toml", head+text+types)
+		if err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q:\ngot %v\nwant %s", text, err, want)
+		}
+	}
+	if _, err := ParseScenario("test.toml", head); err == nil || !strings.Contains(err.Error(), "type: none") {
+		t.Errorf("without traffic types: %v", err)
+	}
+}
+
+// A baseline, a program and this tree can be named; what is none of them is refused.
+func TestResolve(t *testing.T) {
+	dir := t.TempDir()
+	if p, err := Resolve(t.Context(), "random", dir); err != nil || p.Args[1] != "router" {
+		t.Errorf("a baseline is %v, %v", p, err)
+	}
+	path := filepath.Join(dir, "program")
+	os.WriteFile(path, nil, 0o755)
+	if p, err := Resolve(t.Context(), path, dir); err != nil || p.Args[0] != path {
+		t.Errorf("a program is %v, %v", p, err)
+	}
+	if _, err := Resolve(t.Context(), "no-such-thing", dir); err == nil || !strings.Contains(err.Error(), "is not head, a baseline") {
+		t.Errorf("what is nothing is %v", err)
+	}
+}
--- a/internal/standin/list.go
+++ b/internal/standin/list.go
@@ -82,6 +82,7 @@
 	shown   map[string]Mode
 	told    []Told
 	server  *http.Server
+	all     []*http.Server // also those that it has moved from
 	addr    string
 
 	// Faults; they may overlap.
@@ -122,7 +123,7 @@
 	mux.HandleFunc("GET /catalog/members", a.serve)
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
 	a.l.mu.Lock()
-	a.server, a.addr = server, addr
+	a.server, a.addr, a.all = server, addr, append(a.all, server)
 	a.l.mu.Unlock()
 	go server.Serve(ln)
 	return nil
@@ -298,6 +299,8 @@
 	agents := l.agents
 	l.mu.Unlock()
 	for _, a := range agents {
-		a.server.Close()
+		for _, server := range a.all {
+			server.Close()
+		}
 	}
 }
--- /dev/null
+++ b/internal/standin/list_test.go
@@ -0,0 +1,117 @@
+package standin
+
+import (
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+)
+
+// follow gives an agent of a running fleet at an address of its own.
+func follow(t *testing.T, f *Fleet) *Agent {
+	a, err := f.list.Agent(strings.Replace(place(), "11300", "8500", 1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return a
+}
+
+func TestWholeListAndWatch(t *testing.T) {
+	f, all := running(t, spec("s-1"), spec("s-2"))
+	a := follow(t, f)
+	whole := members(t, a, "")
+	if whole.Generation != 2 || !whole.Whole || len(whole.Entries) != 2 || whole.Entries[0].Addr != all[0].Addr {
+		t.Fatalf("the whole list is %+v", whole)
+	}
+	go func() {
+		time.Sleep(50 * time.Millisecond)
+		f.on(all[1].Drain)
+	}()
+	began := time.Now()
+	news := members(t, a, "?from=2&hold_ms=250")
+	if took := time.Since(began); news.Generation != 3 || news.Whole || len(news.Entries) != 1 || news.Entries[0].Mode != Draining || took < 40*time.Millisecond {
+		t.Errorf("after %v the news are %+v", took, news)
+	}
+	if none := members(t, a, "?from=3&hold_ms=20"); none.Generation != 3 || len(none.Entries) != 0 {
+		t.Errorf("without news it says %+v", none)
+	}
+	told := a.Told()
+	if len(told) != 3 || told[2].Server != "s-2" || told[2].Mode != Draining {
+		t.Errorf("it notes that it told %+v", told)
+	}
+	f.on(all[1].Leave)
+	if whole = members(t, a, ""); len(whole.Entries) != 1 || len(a.Told()) != 4 {
+		t.Errorf("with one gone it tells %+v", whole)
+	}
+}
+
+// Late, frozen, older, silent and refusing: each is seen by who asks, and is over when it ends. Two may overlap.
+func TestListTrouble(t *testing.T) {
+	f, all := running(t, spec("s-1"), spec("s-2"))
+	a := follow(t, f)
+	members(t, a, "")
+	endLate, endFreeze := a.Delay(0.15), a.Freeze()
+	f.on(all[0].Drain)
+	generation := func(want int) {
+		t.Helper()
+		if got := members(t, a, "?from=2&hold_ms=0").Generation; got != want {
+			t.Errorf("it is at generation %d, want %d", got, want)
+		}
+	}
+	generation(2)
+	time.Sleep(200 * time.Millisecond)
+	generation(2)
+	endFreeze()
+	generation(3)
+	endLate()
+	endOld := a.Older(2)
+	if got := members(t, a, "?from=3&hold_ms=0"); got.Generation != 1 || !got.Whole {
+		t.Errorf("an older list is told as %+v", got)
+	}
+	endOld()
+	endSilence := a.Silence()
+	generation(-1)
+	endSilence()
+	generation(3)
+	back := a.Refuse()
+	if _, err := net.DialTimeout("tcp", a.Addr(), soon); err == nil {
+		t.Error("a refusing list service takes connections")
+	}
+	if err := back(); err != nil {
+		t.Fatal(err)
+	}
+	generation(3)
+	before := a.Addr()
+	if err := a.Move(strings.Replace(before, "8500", "8501", 1)); err != nil {
+		t.Fatal(err)
+	}
+	generation(3)
+	time.Sleep(1600 * time.Millisecond)
+	if _, err := net.DialTimeout("tcp", before, soon); err == nil || a.Addr() == before {
+		t.Error("the old address still serves")
+	}
+}
+
+// News come in the order of the changes, each after the delay.
+func TestDelayedNews(t *testing.T) {
+	f, all := running(t, spec("s-1"))
+	f.list.delay = Delay{Base: 0.1, Spread: 0.2}
+	a := follow(t, f)
+	f.on(all[0].Drain)
+	f.on(all[0].Undrain)
+	f.on(all[0].Drain)
+	at, seen := time.Now(), ""
+	for g := 1; g < 4; {
+		next := members(t, a, fmt.Sprintf("?from=%d&hold_ms=250", g))
+		if next.Generation > g && seen == "" {
+			if seen = time.Since(at).String(); time.Since(at) < 90*time.Millisecond {
+				t.Errorf("the first news came after %s", seen)
+			}
+		}
+		if next.Generation < g || time.Since(at) > 2*time.Second {
+			t.Fatalf("after generation %d came %d", g, next.Generation)
+		}
+		g = next.Generation
+	}
+}
--- /dev/null
+++ b/internal/standin/parts_test.go
@@ -0,0 +1,91 @@
+package standin
+
+import "testing"
+
+// What is exactly the multiple does not tip; a little more for the whole time does; a pause in between starts it anew.
+func TestTip(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		work      float64 // each 10 ms, where 0.02 is the multiple; at a tenth's edges one may fall beside it
+		pause     bool
+		wantAfter float64 // seconds, 0: never
+	}{
+		{"at the multiple", 0.02, false, 0},
+		{"a little above", 0.023, false, 1},
+		{"far above", 1, false, 1},
+		{"above, with a pause", 0.03, true, 0},
+	} {
+		tip, fell := Tip{Multiple: 2, Time: 1}, 0.0
+		for i := range 300 {
+			now := 100 + float64(i)*0.01
+			if c.pause && i%90 >= 75 {
+				continue // for longer than a tenth of the time
+			}
+			if tip.Comes(now, c.work, 1) && fell == 0 {
+				fell = now - 100
+			}
+		}
+		if c.wantAfter == 0 && fell != 0 || c.wantAfter > 0 && (fell < c.wantAfter-0.05 || fell > c.wantAfter+0.15) {
+			t.Errorf("%s: it fell after %.2f s, want %v", c.name, fell, c.wantAfter)
+		}
+	}
+}
+
+func TestStoreForgetsTheLeastRecentlyUsed(t *testing.T) {
+	s := newStore(2)
+	s.put("a")
+	s.put("b")
+	s.has("a")
+	s.put("c")
+	if !s.has("a") || s.has("b") || !s.has("c") {
+		t.Error("the one used last was dropped")
+	}
+	s.drop("a")
+	if s.has("a") || len(s.at) != 1 {
+		t.Error("a dropped key is held")
+	}
+}
+
+// A mark is known up to its window's edge, not at it, and is forgotten then.
+func TestMemoryAtTheWindowsEdge(t *testing.T) {
+	m := &memory{marks: map[string]marked{}}
+	m.take(10, "k", "7", 5)
+	if receipt, known := m.repeat(14.999, "k"); !known || receipt != "7" {
+		t.Error("a repeat within the window is not known")
+	}
+	if _, known := m.repeat(15, "k"); known {
+		t.Error("a repeat at the window's end is still known")
+	}
+	m.take(15, "other", "8", 5)
+	if len(m.marks) != 1 || len(m.order) != 1 {
+		t.Errorf("%d marks are kept", len(m.marks))
+	}
+}
+
+// Faults on one server may overlap and end in the other order: its rate is always that of those that are on.
+func TestFaultsOverlap(t *testing.T) {
+	f, all := running(t, spec("s-1"))
+	s := all[0]
+	rate := func(want float64) {
+		t.Helper()
+		if s.work.rate != want {
+			t.Errorf("the rate is %v, want %v", s.work.rate, want)
+		}
+	}
+	f.on(func() {
+		endA := s.Slow(4)
+		endB := s.Slow(2)
+		rate(0.125)
+		endStall := s.Stall()
+		rate(0)
+		endA()
+		endStall()
+		rate(0.5)
+		endOne, endTwo := s.Stall(), s.Stall()
+		endOne()
+		rate(0)
+		endTwo()
+		endB()
+		rate(1)
+	})
+}
