--- a/cmd/trestlelab/main.go
+++ b/cmd/trestlelab/main.go
@@ -240,9 +240,10 @@
 	if err != nil {
 		return faulty(err)
 	}
-	conf, err := config.Read(os.Getenv)
+	read := func() (config.Config, error) { return config.Read(os.Getenv) }
+	conf, err := read()
 	if err != nil {
 		return faulty(err)
 	}
-	return service.Run(conf, module, zerolog.New(os.Stderr).With().Timestamp().Logger())
+	return service.Run(conf, module, read, zerolog.New(os.Stderr).With().Timestamp().Logger())
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -9,6 +9,7 @@
 	"reflect"
 	"slices"
 	"strconv"
+	"strings"
 
 	"bendtrestle/internal/discovery"
 	"bendtrestle/internal/settings"
@@ -43,14 +44,45 @@
 	if err != nil {
 		return Config{}, fmt.Errorf("GW_CONFIG: %w", err)
 	}
-	return Parse(text, env)
+	c, faults := parse(text, env)
+	return c, located(path, text, faults)
 }
 
-// Parse reads a configuration.
+// located tells all faults, a line each, with the file and the line where each key stands, or the line of what should
+// hold it.
+func located(path string, text []byte, faults []settings.Fault) error {
+	if len(faults) == 0 {
+		return nil
+	}
+	lines, all := settings.Lines(text), []error(nil)
+	for _, f := range faults {
+		at := f.Path
+		for at != "" && lines[at] == 0 {
+			at = at[:strings.LastIndexByte(at, '/')]
+		}
+		if line := lines[at]; line > 0 {
+			all = append(all, fmt.Errorf("%s:%d: %s", path, line, f.Text))
+		} else {
+			all = append(all, fmt.Errorf("%s: %s", path, f.Text))
+		}
+	}
+	return errors.Join(all...)
+}
+
+// Parse reads a configuration; the error tells all faults, a line each.
 func Parse(text []byte, env func(string) string) (Config, error) {
+	c, faults := parse(text, env)
+	var all []error
+	for _, f := range faults {
+		all = append(all, errors.New(f.Text))
+	}
+	return c, errors.Join(all...)
+}
+
+func parse(text []byte, env func(string) string) (Config, []settings.Fault) {
 	o, err := settings.Parse(text, "configuration")
 	if err != nil {
-		return Config{}, err
+		return Config{}, []settings.Fault{{Text: err.Error()}}
 	}
 	told := func(key, variable string) string {
 		if text := o.Text(key); text != "" {
@@ -93,7 +125,7 @@
 	c.PerConnection = max(1, int(positive(bounds, "streamsPerConn", 1)))
 	c.OpenCap = int(bounds.Count("openCap"))
 	c.derive()
-	return c, o.Err()
+	return c, o.Faults()
 }
 
 // Restart names the keys in which a configuration differs from the present one, but for those that are taken while
--- a/internal/lab/helpers_test.go
+++ b/internal/lab/helpers_test.go
@@ -37,7 +37,7 @@
 	if err != nil {
 		panic(err)
 	}
-	if err = service.Run(conf, make, zerolog.New(os.Stderr).With().Timestamp().Logger()); err != nil {
+	if err = service.Run(conf, make, func() (config.Config, error) { return config.Read(os.Getenv) }, zerolog.New(os.Stderr).With().Timestamp().Logger()); err != nil {
 		panic(err)
 	}
 }
--- /dev/null
+++ b/internal/operators/operators.go
@@ -0,0 +1,74 @@
+// Package operators reads the operators' own file: what the platform's configuration has no word for. Without the file
+// everything is as the platform says.
+package operators
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"bendtrestle/internal/tomlfile"
+)
+
+// File is the operators' file as it is in effect.
+type File struct {
+	Log Log `toml:"log"`
+
+	path string
+	from *tomlfile.File
+}
+
+// Log says what is logged, and how.
+type Log struct {
+	Level string `toml:"level"` // from which level on
+	Form  string `toml:"form"`  // json, or console for people
+}
+
+var (
+	levels = []string{"debug", "info", "warn", "error"}
+	forms  = []string{"json", "console"}
+)
+
+func usual() File { return File{Log: Log{Level: "info", Form: "json"}} }
+
+// Read reads and checks the file at a path; an empty path is no file. All faults are told, a line each.
+func Read(path string) (File, error) {
+	f := usual()
+	if path == "" {
+		return f, nil
+	}
+	from, err := tomlfile.Read(path, &f)
+	if err != nil {
+		return usual(), err
+	}
+	f.path, f.from = path, from
+	f.check()
+	return f, from.Err()
+}
+
+func (f *File) check() {
+	oneOf := func(key, value string, of []string) {
+		if !slices.Contains(of, value) {
+			f.from.Fault(key, "%q is not one of %s", value, strings.Join(of, ", "))
+		}
+	}
+	oneOf("log.level", f.Log.Level, levels)
+	oneOf("log.form", f.Log.Form, forms)
+}
+
+// Setting is one value in effect and where it comes from.
+type Setting struct{ Key, Value, From string }
+
+// Settings gives all, with the line that set each or that it is the default.
+func (f *File) Settings() []Setting {
+	from := func(key string) string {
+		if f.from != nil && f.from.Has(key) {
+			return fmt.Sprintf("%s:%d", f.path, f.from.Line(key))
+		}
+		return "default"
+	}
+	return []Setting{
+		{"log.level", f.Log.Level, from("log.level")},
+		{"log.form", f.Log.Form, from("log.form")},
+	}
+}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -68,8 +68,8 @@
 	stop context.CancelFunc
 }
 
-// Run serves until the router has ended; module starts its decisions.
-func Run(conf config.Config, module router.Maker, log zerolog.Logger) error {
+// Run serves until the router has ended; module starts its decisions, again reads the configuration anew.
+func Run(conf config.Config, module router.Maker, again func() (config.Config, error), log zerolog.Logger) error {
 	// Two at least: with one, the runtime's monitor finds none idle and takes it from the loop at each wait for events.
 	runtime.GOMAXPROCS(max(2, int(math.Ceil(conf.Cores))))
 	// Of the runtime's memory. The kernel's buffers of a thousand sockets may count as well, at some 64 KiB each.
@@ -83,16 +83,16 @@
 	if err != nil {
 		return err
 	}
-	go s.obey(signals, os.Getenv)
+	go s.obey(signals, again)
 	return s.loop.Run()
 }
 
 // obey takes signals. Files are read here, off the loop.
-func (s *Service) obey(signals <-chan os.Signal, env func(string) string) {
+func (s *Service) obey(signals <-chan os.Signal, again func() (config.Config, error)) {
 	for sig := range signals {
 		if sig != syscall.SIGHUP {
 			s.loop.Post(s.leave)
-		} else if conf, err := config.Read(env); err != nil {
+		} else if conf, err := again(); err != nil {
 			s.log.Error().Err(err).Msg("the new configuration cannot be used; the old one stays")
 		} else {
 			s.loop.Post(func() { s.reconfigure(conf) })
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -153,7 +153,7 @@
 	defer s.loop.Post(s.end)
 	path := filepath.Join(t.TempDir(), "config.json")
 	signals := make(chan os.Signal)
-	go s.obey(signals, func(string) string { return path })
+	go s.obey(signals, func() (config.Config, error) { return config.Read(func(string) string { return path }) })
 	defer close(signals)
 	answer := make(chan string, 1)
 	go func() { answer <- ask(addr, read) }()
--- a/internal/settings/object.go
+++ b/internal/settings/object.go
@@ -5,19 +5,26 @@
 import (
 	"errors"
 	"fmt"
+	"strconv"
 
 	"github.com/valyala/fastjson"
 )
 
-// Object reads the fields of one JSON object. The first fault met in it, or in any object within it, is kept
-// at the outermost.
+// Object reads the fields of one JSON object. The faults met in it, or in any object within it, are kept at the
+// outermost.
 type Object struct {
-	v    *fastjson.Value
-	name string
-	up   *Object
-	err  error
+	v      *fastjson.Value
+	name   string
+	path   string // within the text, as Lines has it
+	up     *Object
+	faults []Fault
 }
 
+// Fault is what is wrong with a field.
+type Fault struct{ Path, Text string }
+
+const mostFaults = 100 // that are kept: a person mends no more at once
+
 // Parse reads a text that must hold an object; what names it in a fault of the text itself.
 func Parse(text []byte, what string) (*Object, error) {
 	v, err := fastjson.ParseBytes(text)
@@ -34,7 +41,15 @@
 func New(v *fastjson.Value, name string) *Object { return &Object{v: v, name: name} }
 
 // Err is the first fault.
-func (o *Object) Err() error { return o.err }
+func (o *Object) Err() error {
+	if len(o.faults) == 0 {
+		return nil
+	}
+	return errors.New(o.faults[0].Text)
+}
+
+// Faults are all faults, in the order in which they were met.
+func (o *Object) Faults() []Fault { return o.faults }
 
 // Fault notes that a field cannot be used.
 func (o *Object) Fault(field, what string) {
@@ -46,16 +61,17 @@
 	for root.up != nil {
 		root = root.up
 	}
-	if root.err == nil {
-		root.err = errors.New(text)
+	if len(root.faults) < mostFaults {
+		root.faults = append(root.faults, Fault{o.path + "/" + field, text})
 	}
 }
 
 func (o *Object) within(v *fastjson.Value, field string) *Object {
+	path := o.path + "/" + field
 	if o.name != "" {
 		field = o.name + ": " + field
 	}
-	return &Object{v: v, name: field, up: o}
+	return &Object{v: v, name: field, path: path, up: o}
 }
 
 // ID reads a number that must be there.
@@ -154,12 +170,14 @@
 // List reads an array of objects.
 func (o *Object) List(field string) []*Object {
 	var all []*Object
-	for _, v := range o.values(field) {
+	for i, v := range o.values(field) {
 		if v.Type() != fastjson.TypeObject {
 			o.Fault(field, "holds what is not an object")
 			return nil
 		}
-		all = append(all, o.within(v, field))
+		e := o.within(v, field)
+		e.path += "/" + strconv.Itoa(i)
+		all = append(all, e)
 	}
 	return all
 }
