Let a decline tell why, realms spend further executions apart, and traffic types change

Need: contracts want every decline told apart, a team's failures to take no further executions from another, and a traffic type changed while operations are under way. Change: Host.Decline carries a reason; Settings.Apart gives each realm its own further executions (off on the platform); Router.Offer takes new traffic types, what has arrived ends under the old ones. The core tells an operation's account what its executions took and how it ended. Measured: tests; nothing of it acts on the platform.

--- a/internal/lab/baseline/baseline.go
+++ b/internal/lab/baseline/baseline.go
@@ -40,9 +40,7 @@
 	return func(now float64, set logic.Settings, host logic.Host) router.Module {
 		m := &Module{host: host, set: set, pick: p, servers: map[uint64]*server{}, ops: map[uint64]*operation{},
 			types: map[string]logic.TrafficType{}}
-		for _, t := range set.TrafficTypes {
-			m.types[t.Name] = t
-		}
+		m.Offer(set.TrafficTypes)
 		return m
 	}, nil
 }
@@ -247,7 +245,7 @@
 	op.answered = true
 	ran := slices.ContainsFunc(op.executions, func(e *execution) bool { return !e.harmless })
 	if op.t.Effect == logic.Reissuable || op.t.Effect == logic.Numbered && op.t.Group == logic.All || !ran {
-		m.host.Decline(op.id, 0)
+		m.host.Decline(op.id, 0, logic.NoServer)
 	} else {
 		m.host.Terminate(op.id)
 	}
@@ -288,6 +286,14 @@
 	}
 }
 
+// Offer takes the traffic types.
+func (m *Module) Offer(types []logic.TrafficType) {
+	m.types = map[string]logic.TrafficType{}
+	for _, t := range types {
+		m.types[t.Name] = t
+	}
+}
+
 // Left takes the client's departure.
 func (m *Module) Left(_ float64, id uint64) {
 	if op := m.ops[id]; op != nil {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -20,8 +20,45 @@
 	Write             bool
 	Value             []byte  // of a write
 	Left              float64 // seconds until the client gives up
+	Account           Account // told what becomes of it; nil: nobody is
 }
 
+// Account is told what an operation costs and how it ends.
+type Account interface {
+	Took(seconds float64)         // an execution ended that was out for so long
+	Answered(end End, why Reason) // the final answer
+	Ended()                       // nothing of it is out any more
+}
+
+// End is an operation's final answer, or that its client left without one.
+type End int
+
+// The ends.
+const (
+	Finished End = iota
+	Declined
+	Terminated
+	Left
+)
+
+// Reason tells what made a decline.
+type Reason int
+
+// The reasons, all that there are on the way of an operation.
+const (
+	NoReason Reason = iota
+	Strained        // the module: its server takes too long
+	NoServer        // the module: none may execute it
+	NoTime          // the module: too little is left
+	Budget          // its team is beyond its budget
+	Place           // there is no place left for it
+)
+
+// Reasons name them, by their numbers.
+var Reasons = [...]string{"none", "strain", "no server", "no time", "budget", "place"}
+
+var reasons = map[logic.Reason]Reason{logic.Strained: Strained, logic.NoServer: NoServer, logic.NoTime: NoTime}
+
 // Result is what a cache server made of an execution that finished.
 type Result struct {
 	Value   []byte
@@ -78,6 +115,7 @@
 	Told(now float64, words []byte)
 	Probed(now float64, server uint64, how logic.Outcome)
 	Wake(now float64, name string)
+	Offer(types []logic.TrafficType)
 }
 
 // Maker starts a module.
@@ -96,7 +134,10 @@
 }
 
 // Counts is what has happened since the start.
-type Counts struct{ Taken, Finished, Declined, Terminated, Left, Executions, Faults uint64 }
+type Counts struct {
+	Taken, Finished, Declined, Terminated, Left, Executions, Faults uint64
+	Reasons                                                         [len(Reasons)]uint64 // of what was declined
+}
 
 type operation struct {
 	*Operation
@@ -141,6 +182,7 @@
 	if o := r.ops[id]; o != nil && o.client != nil {
 		r.Counts.Left++
 		o.client = nil
+		o.tell(Left, NoReason)
 		r.guard(o, func() { r.module.Left(r.Clock.Now(), id) })
 		o.forget()
 	}
@@ -151,6 +193,11 @@
 	r.guard(nil, func() { r.module.Listed(r.Clock.Now(), kind, members) })
 }
 
+// Offer takes the traffic types that operations may have from now on.
+func (r *Router) Offer(types []logic.TrafficType) {
+	r.guard(nil, func() { r.module.Offer(types) })
+}
+
 // Told takes a peer's words.
 func (r *Router) Told(words []byte) {
 	r.guard(nil, func() { r.module.Told(r.Clock.Now(), words) })
@@ -165,11 +212,22 @@
 	if final {
 		r.Counts.Finished++
 		o.answer().Finished(with)
+		o.tell(Finished, NoReason)
+	}
+	if o.Account != nil {
+		o.Account.Took(now - x.began)
 	}
 	r.guard(o, func() { r.module.Settled(now, o.id, x.n, how, now-x.began, final) })
 	o.forget()
 }
 
+// tell lets the account know the final answer.
+func (o *operation) tell(end End, why Reason) {
+	if o.Account != nil {
+		o.Account.Answered(end, why)
+	}
+}
+
 // answer takes the client, which is answered once.
 func (o *operation) answer() (client Client) {
 	client, o.client = o.client, nil
@@ -187,8 +245,11 @@
 			x.pending.DropUnsent()
 		}
 	}
-	if o.out == 0 {
+	if o.out == 0 && o.r.ops[o.id] == o {
 		delete(o.r.ops, o.id)
+		if o.Account != nil {
+			o.Account.Ended()
+		}
 	}
 }
 
@@ -231,10 +292,12 @@
 }
 
 // Decline answers an operation.
-func (r *Router) Decline(id uint64, retryAfter float64) {
+func (r *Router) Decline(id uint64, retryAfter float64, why logic.Reason) {
 	if o := r.ops[id]; o != nil && o.client != nil {
 		r.Counts.Declined++
+		r.Counts.Reasons[reasons[why]]++
 		o.answer().Declined(retryAfter)
+		o.tell(Declined, reasons[why])
 		o.forget()
 	}
 }
@@ -244,6 +307,7 @@
 	if o := r.ops[id]; o != nil && o.client != nil {
 		r.Counts.Terminated++
 		o.answer().Terminated()
+		o.tell(Terminated, NoReason)
 		o.forget()
 	}
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -228,7 +228,7 @@
 	i.s.line("WITHDRAW").uint("router", i.id).uint("txn", operation).uint("n", uint64(n)).end()
 }
 
-func (i *instance) Decline(operation uint64, retryAfter float64) {
+func (i *instance) Decline(operation uint64, retryAfter float64, _ logic.Reason) {
 	i.s.line("BOUNCE").uint("router", i.id).uint("txn", operation).time("pause", retryAfter).end()
 }
 
--- a/logic/helpers_test.go
+++ b/logic/helpers_test.go
@@ -10,7 +10,9 @@
 
 func (n *notes) Execute(op, s uint64, limit float64) { n.add("execute %d on %d", op, s) }
 func (n *notes) Withdraw(op uint64, at int)          { n.add("withdraw %d/%d", op, at) }
-func (n *notes) Decline(op uint64, after float64)    { n.add("decline %d after %t", op, after > 0) }
+func (n *notes) Decline(op uint64, after float64, _ Reason) {
+	n.add("decline %d after %t", op, after > 0)
+}
 func (n *notes) Terminate(op uint64)                 { n.add("terminate %d", op) }
 func (n *notes) Close(s uint64)                      { n.add("close %d", s) }
 func (n *notes) Tell(words []byte)                   { n.add("tell %x", words) }
@@ -59,6 +61,7 @@
 		s = &server{}
 	}
 	op := &operation{id: 7, row: r.rows[kind], worth: 1, due: r.now + 0.4, hardStop: r.now + 2}
+	op.purse = &r.spare
 	op.executions = []*execution{{of: op, on: s, sent: r.now, out: out, harmless: harmless}}
 	r.ops[7] = op
 	return op
@@ -80,3 +83,11 @@
 		t.Errorf("%s: got %v, want %v", what, got, want)
 	}
 }
+
+// reasons is a host that keeps why operations were declined.
+type reasons struct {
+	notes
+	told []Reason
+}
+
+func (r *reasons) Decline(_ uint64, _ float64, why Reason) { r.told = append(r.told, why) }
--- a/logic/host.go
+++ b/logic/host.go
@@ -3,17 +3,27 @@
 // Host is what the module acts through. Whoever runs an instance hands it one at start; ids are those of
 // the calls into the module. Times are seconds.
 type Host interface {
-	Execute(operation, server uint64, limit float64) // begin an execution, given up after limit
-	Withdraw(operation uint64, n int)                // stop waiting for the operation's n-th execution
-	Decline(operation uint64, retryAfter float64)    // final answer: trying again is harmless
-	Terminate(operation uint64)                      // final answer: promises nothing
-	Close(server uint64)                             // close the idle connections to a server
-	Tell(words []byte)                               // send a short message to every peer
-	Probe(server uint64)                             // look at a server
-	SetTimer(delay float64, name string)             // call Wake with name after delay
-	Watch(on bool)                                   // ask for list changes from now on
+	Execute(operation, server uint64, limit float64)          // begin an execution, given up after limit
+	Withdraw(operation uint64, n int)                         // stop waiting for the operation's n-th execution
+	Decline(operation uint64, retryAfter float64, why Reason) // final answer: trying again is harmless
+	Terminate(operation uint64)                               // final answer: promises nothing
+	Close(server uint64)                                      // close the idle connections to a server
+	Tell(words []byte)                                        // send a short message to every peer
+	Probe(server uint64)                                      // look at a server
+	SetTimer(delay float64, name string)                      // call Wake with name after delay
+	Watch(on bool)                                            // ask for list changes from now on
 }
 
+// Reason tells why an operation was declined.
+type Reason int
+
+// The reasons.
+const (
+	Strained Reason = iota // its server takes too long for what it is worth
+	NoServer               // none may execute it, or execute it again
+	NoTime                 // what is left is less than an execution should take, or all that may be repeated is
+)
+
 // Outcome tells how an execution or a probe ended.
 type Outcome int
 
@@ -112,6 +122,7 @@
 	Ordered        bool    // an execution waits for those sent to its server before it
 	OriginKind     string
 	OnRequest      bool // the list comes only when asked for
+	Apart          bool // each realm has further executions of its own
 	HintsFixed     bool // Member.Capacity is a size, not a load
 	MostExecutions int
 	SecondCopies   bool
@@ -152,14 +163,15 @@
 	heat, heated [slots]float64     // uses of a slot lately, and the count of uses when that was reckoned
 	uses, recent float64            // uses of all slots, and those that are lately
 	ops          map[uint64]*operation
-	held         []*operation // that wait for a probe
-	words        []byte       // for the peers
-	voice, spare float64      // messages that may be sent to them; further executions that may be made
-	flow, flowAt float64      // executions that caches finished a second, and when that was reckoned
-	taken        float64      // part of the operations of late that caches finished
-	timely       float64      // part of the executions of late that finished within the promised time
-	value        float64      // benefit for a second's execution, the mean of what was judged lately
-	asked, wait  float64      // when the list was last asked for, 0 if answered; the wait after an error
+	held         []*operation        // that wait for a probe
+	words        []byte              // for the peers
+	voice, spare float64             // messages that may be sent to them; further executions that may be made
+	purses       map[string]*float64 // the latter for each realm, where they are apart
+	flow, flowAt float64             // executions that caches finished a second, and when that was reckoned
+	taken        float64             // part of the operations of late that caches finished
+	timely       float64             // part of the executions of late that finished within the promised time
+	value        float64             // benefit for a second's execution, the mean of what was judged lately
+	asked, wait  float64             // when the list was last asked for, 0 if answered; the wait after an error
 }
 
 // row is the table of what differs by traffic type.
@@ -201,13 +213,14 @@
 	row             *row
 	hash            uint32
 	write           bool
-	spread          float64 // how many of the nearest caches share its key
-	worth           float64 // part of its benefit that an answer may still bring
-	paid            *tenant // whose token it took
-	asks            *server // probed for it, and passed over if that stayed silent
-	asked           float64 // when
-	began, answered bool    // its stream has begun; its final answer is out
-	due, hardStop   float64 // the ends of its promised time and of its client's patience
+	spread          float64  // how many of the nearest caches share its key
+	worth           float64  // part of its benefit that an answer may still bring
+	paid            *tenant  // whose token it took
+	purse           *float64 // what its further executions come from
+	asks            *server  // probed for it, and passed over if that stayed silent
+	asked           float64  // when
+	began, answered bool     // its stream has begun; its final answer is out
+	due, hardStop   float64  // the ends of its promised time and of its client's patience
 	executions      []*execution
 }
 
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -73,13 +73,10 @@
 // New starts an instance.
 func New(now float64, set Settings, host Host) *Router {
 	r := &Router{host: host, set: set, now: now, rows: map[string]*row{}, tenants: map[string]*tenant{},
-		servers: map[uint64]*server{}, ops: map[uint64]*operation{}, flowAt: now, voice: 1, taken: 0.5}
+		servers: map[uint64]*server{}, ops: map[uint64]*operation{}, flowAt: now, voice: 1, taken: 0.5,
+		purses: map[string]*float64{}}
 	r.set.Routers = max(1, set.Routers)
-	for _, t := range set.TrafficTypes {
-		t.PromisedTime = cmp.Or(max(0, t.PromisedTime), max(t.HardStop, set.Step, 1e-3)) // or all there is
-		// Until seen, an execution is to take a quarter of the promised time: most promise several times the work.
-		r.rows[t.Name] = &row{TrafficType: t, lag: t.PromisedTime / 4}
-	}
+	r.Offer(set.TrafficTypes)
 	for _, t := range set.Tenants {
 		r.tenants[t.Name] = &tenant{quota: max(0, t.Quota), tokens: max(1, t.Quota/float64(r.set.Routers)), at: now}
 		r.quotas += max(0, t.Quota)
@@ -90,6 +87,33 @@
 	return r
 }
 
+// Offer takes the traffic types that operations may have from now on; what has arrived ends under the old ones.
+func (r *Router) Offer(types []TrafficType) {
+	rows := map[string]*row{}
+	for _, t := range types {
+		t.PromisedTime = cmp.Or(max(0, t.PromisedTime), max(t.HardStop, r.set.Step, 1e-3)) // or all there is
+		// Until seen, an execution is to take a quarter of the promised time: most promise several times the work.
+		next := &row{TrafficType: t, lag: t.PromisedTime / 4}
+		if was := r.rows[t.Name]; was != nil {
+			next.lag, next.heard = was.lag, was.heard
+		}
+		rows[t.Name] = next
+	}
+	r.rows = rows
+	clear(r.purses) // of realms that may be gone
+}
+
+// spend gives what further executions of a realm come from: one for all, or, where realms are apart, one each.
+func (r *Router) spend(realm string) *float64 {
+	if !r.set.Apart {
+		return &r.spare
+	}
+	if r.purses[realm] == nil {
+		r.purses[realm] = new(float64)
+	}
+	return r.purses[realm]
+}
+
 // chance draws a number from 0 up to 1.
 func (r *Router) chance() float64 {
 	r.draws++
@@ -344,7 +368,8 @@
 		}
 	}
 	r.ops[id] = op
-	r.spare = min(r.spare+0.1, 10) // a tenth more executions than operations at most: no storm of repeats
+	op.purse = r.spend(realm)
+	*op.purse = min(*op.purse+0.1, 10) // a tenth more executions than operations at most: no storm of repeats
 	r.begin(op, r.choose(op, r.set.Aside && write))
 }
 
@@ -361,8 +386,10 @@
 		r.held = append(r.held, op)
 		r.host.Probe(s.ID)
 		r.host.SetTimer(hold, "held")
+	case s == nil:
+		r.giveUp(op, NoServer)
 	case strained:
-		r.giveUp(op)
+		r.giveUp(op, Strained)
 	default:
 		r.execute(op, s)
 	}
@@ -453,7 +480,7 @@
 	limit, latest := op.hardStop-r.now, op.due-op.row.lag-r.now
 	// It is cut off while one more execution still fits into the promised time, on a server that just failed, or
 	// if few were needed lately and copies may run. Else a cut may stop no work, and another fares no better.
-	cut := s.fails > 0 && r.spare >= 1 || r.set.Aside && r.set.SecondCopies && r.spare >= 5
+	cut := s.fails > 0 && *op.purse >= 1 || r.set.Aside && r.set.SecondCopies && *op.purse >= 5
 	if cut && latest > op.row.lag && op.row.Effect == Reissuable && !r.isOrigin(s) {
 		limit = min(limit, latest)
 	}
@@ -586,13 +613,15 @@
 		return
 	}
 	s := r.choose(op, missed || r.isOrigin(e.on))
-	if s != nil && op.hardStop-r.now > r.expect(op, s) && (e.harmless || r.spare >= 1) {
+	if s != nil && op.hardStop-r.now > r.expect(op, s) && (e.harmless || *op.purse >= 1) {
 		if !e.harmless {
-			r.spare--
+			*op.purse--
 		}
 		r.execute(op, s)
+	} else if !others && s == nil {
+		r.giveUp(op, NoServer)
 	} else if !others {
-		r.giveUp(op)
+		r.giveUp(op, NoTime)
 	}
 }
 
@@ -604,14 +633,14 @@
 }
 
 // giveUp sends the final answer of an operation that will get no other, at once.
-func (r *Router) giveUp(op *operation) {
+func (r *Router) giveUp(op *operation, why Reason) {
 	if len(op.executions) == 0 {
 		if r.taken -= r.taken / 16; op.paid != nil {
 			op.paid.tokens++
 		}
 	}
 	if pause := min(op.row.PromisedTime*(0.5+r.chance()), r.set.MaxRetryAfter); r.mayDecline(op) {
-		r.host.Decline(op.id, pause)
+		r.host.Decline(op.id, pause, why)
 	} else {
 		r.host.Terminate(op.id)
 	}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -125,7 +125,7 @@
 func TestGivingUpAnswersAtOnce(t *testing.T) {
 	for kind, want := range map[string]string{"view": "decline 7 after true", "pay": "terminate 7"} {
 		r, did := fleet(1, nil)
-		r.giveUp(begun(r, kind, r.servers[1], false, false))
+		r.giveUp(begun(r, kind, r.servers[1], false, false), NoTime)
 		expect(t, kind, did.last(), want)
 		expect(t, "operations kept", len(r.ops), 0)
 	}
@@ -219,7 +219,7 @@
 		r, _ := fleet(1, func(s *Settings) { s.SecondCopies = false })
 		r.host = limited{&notes{}, &limit}
 		r.servers[1].fails, r.spare = fails, 5
-		r.execute(&operation{id: 7, row: r.rows["view"], due: 0.4, hardStop: 1}, r.servers[1])
+		r.execute(&operation{id: 7, row: r.rows["view"], due: 0.4, hardStop: 1, purse: &r.spare}, r.servers[1])
 		expect(t, "cut off", limit < 1, want)
 	}
 }
@@ -609,3 +609,48 @@
 		expect(t, fmt.Sprint("with ", routers, " routers"), did.last(), want)
 	}
 }
+
+// Where realms are apart, one whose executions fail takes no further ones from another.
+func TestFurtherExecutionsAreApart(t *testing.T) {
+	r, _ := fleet(2, func(s *Settings) { s.Apart = true })
+	for i := range 30 {
+		r.Arrived(0, uint64(100+i), "view", "a", "k", false, 2)
+	}
+	a, b := r.spend("a"), r.spend("b")
+	expect(t, "what a may", *a > 2.9 && *a < 3.1, true)
+	expect(t, "what b may", *b, 0.0)
+	expect(t, "what all may", r.spare, 0.0)
+}
+
+// New traffic types hold for what arrives from then on: what has arrived ends under the old ones, and times seen stay.
+func TestNewTrafficTypes(t *testing.T) {
+	r, n := fleet(2, nil)
+	r.Arrived(0, 5, "view", "", "k", false, 2)
+	r.rows["view"].lag = 0.07
+	r.Offer([]TrafficType{{Name: "view", Effect: AtMostOnce, PromisedTime: 0.2, HardStop: 1, Benefit: 1}})
+	expect(t, "the time seen", r.rows["view"].lag, 0.07)
+	expect(t, "old types that are left", len(r.rows), 1)
+	expect(t, "the effect of what has arrived", r.ops[5].row.Effect, Reissuable)
+	r.Settled(0.1, 5, 0, NoConnection, 0.1, false)
+	expect(t, "it goes on", len(n.did) > 1 && n.last()[:9] == "execute 5", true)
+	r.Arrived(0.2, 6, "view", "", "k", false, 1)
+	expect(t, "the effect of what arrives", r.ops[6].row.Effect, AtMostOnce)
+}
+
+// A decline tells why.
+func TestReasons(t *testing.T) {
+	r, _ := fleet(0, nil)
+	h := &reasons{}
+	r.host = h
+	r.Arrived(0, 5, "view", "", "k", false, 2)
+	r, _ = fleet(1, nil)
+	r.host = h
+	r.servers[1].out = []*execution{{sent: 0.1, of: &operation{}}}
+	r.Arrived(2, 6, "view", "", "k", false, 2)
+	r, _ = fleet(2, nil)
+	r.host = h
+	r.Arrived(0, 7, "view", "", "k", false, 2)
+	*r.ops[7].purse = 1
+	r.Settled(1.99, 7, 0, TurnedAway, 1.99, false)
+	expect(t, "the reasons", fmt.Sprint(h.told), fmt.Sprint([]Reason{NoServer, Strained, NoTime}))
+}
