--- a/cmd/bendtrestle/main.go
+++ b/cmd/bendtrestle/main.go
@@ -7,6 +7,7 @@
 	"io"
 	"os"
 	"runtime/debug"
+	"strings"
 	"sync/atomic"
 	"text/tabwriter"
 	"time"
@@ -62,15 +63,15 @@
 func (runCommand) Run(args *arguments) error {
 	out := &form{}
 	log := zerolog.New(out).With().Timestamp().Logger()
-	read := func() (config.Config, error) {
+	read := func() (service.Setup, error) {
 		theirs, err := operators.Read(args.Operators)
 		conf, other := config.Read(os.Getenv)
 		if err = errors.Join(err, other); err == nil { // both or none: a faulty file changes nothing
 			out.take(theirs.Log)
 		}
-		return conf, err
+		return service.Setup{Platform: conf, Operators: theirs}, err
 	}
-	conf, err := read()
+	set, err := read()
 	if err != nil {
 		log.Error().Err(err).Msg("the configuration cannot be used")
 		return failed
@@ -78,7 +79,7 @@
 	// A log that is read slowly loses lines rather than hold the loop up, and no trouble floods it.
 	lines := diode.NewWriter(out, 1000, 0, func(lost int) { log.Warn().Int("lost", lost).Msg("log lines lost") })
 	sparse := zerolog.LevelSampler{WarnSampler: &zerolog.BurstSampler{Burst: 20, Period: time.Second}}
-	err = service.Run(conf, router.Logic, read, log.Output(lines).Sample(sparse))
+	err = service.Run(set, router.Logic, read, log.Output(lines).Sample(sparse))
 	lines.Close()
 	if err != nil {
 		log.Error().Err(err).Msg("the router cannot run")
@@ -113,18 +114,25 @@
 		fmt.Fprintln(os.Stderr, err)
 		return misused
 	}
-	return printSettings(os.Stdout, ours, theirs.Settings())
+	return printSettings(os.Stdout, ours, theirs)
 }
 
-func printSettings(out io.Writer, ours []config.Setting, theirs []operators.Setting) error {
+func printSettings(out io.Writer, ours []config.Setting, theirs operators.File) error {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(w, "KEY\tIN EFFECT\tFROM")
 	for _, s := range ours {
 		fmt.Fprintf(w, "%s\t%s\t%s\n", s.Key, s.Value, s.From)
 	}
-	for _, s := range theirs {
+	for _, s := range theirs.Settings() {
 		fmt.Fprintf(w, "%s\t%s\t%s\n", s.Key, s.Value, s.From)
 	}
+	if rows := theirs.Table(); rows != nil {
+		w.Flush()
+		fmt.Fprintln(out)
+		for _, row := range rows {
+			fmt.Fprintln(w, strings.Join(row, "\t"))
+		}
+	}
 	return w.Flush()
 }
 
--- a/cmd/trestlelab/main.go
+++ b/cmd/trestlelab/main.go
@@ -14,6 +14,7 @@
 	"bendtrestle/internal/config"
 	"bendtrestle/internal/lab"
 	"bendtrestle/internal/lab/baseline"
+	"bendtrestle/internal/operators"
 	"bendtrestle/internal/service"
 
 	"github.com/alecthomas/kong"
@@ -240,10 +241,14 @@
 	if err != nil {
 		return faulty(err)
 	}
-	read := func() (config.Config, error) { return config.Read(os.Getenv) }
-	conf, err := read()
+	read := func() (service.Setup, error) {
+		theirs, err := operators.Read(os.Getenv("GW_OPERATORS"))
+		conf, other := config.Read(os.Getenv)
+		return service.Setup{Platform: conf, Operators: theirs}, errors.Join(err, other)
+	}
+	set, err := read()
 	if err != nil {
 		return faulty(err)
 	}
-	return service.Run(conf, module, read, zerolog.New(os.Stderr).With().Timestamp().Logger())
+	return service.Run(set, module, read, zerolog.New(os.Stderr).With().Timestamp().Logger())
 }
--- /dev/null
+++ b/internal/broker/broker.go
@@ -0,0 +1,468 @@
+// Package broker stands between the fronts and the pools: it tells by its contract which team an operation is of, asks
+// whether the team may have it now, and hands it to the core of the team's pool. It runs on the loop and does no I/O.
+package broker
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"bendtrestle/internal/decide/bulkhead"
+	"bendtrestle/internal/decide/contracts"
+	"bendtrestle/internal/router"
+	"bendtrestle/logic"
+)
+
+// Terms are what a team and the operators have agreed on, and how the team's traffic is known.
+type Terms struct {
+	contracts.Contract
+	Pool   string // "": the platform's
+	Listen string // an address of its own; what comes in there is the team's
+	Tenant string // the tenant that its clients name
+	Prefix string // what its keys begin with
+	Types  []logic.TrafficType
+}
+
+// Pool is a pool as the operators' file has it.
+type Pool struct {
+	Name        string
+	Core        *router.Router
+	Capacity    float64 // seconds of load a second, over all routers; 0: not stated
+	Connections int     // to its servers
+}
+
+// Limits bound what is open and held, over all teams.
+type Limits struct {
+	Open        int // operations
+	Held        int // bytes of values
+	Connections int // of clients
+}
+
+// Others says who takes what matches no contract.
+type Others bool
+
+// Either the platform's pool does, as without contracts, or nobody.
+const (
+	ToPlatform Others = false
+	ToNobody   Others = true
+)
+
+// Broker is all contracts.
+type Broker struct {
+	now       func() float64
+	me        int
+	routers   int
+	seed      uint32
+	limits    Limits
+	plain     *plain
+	others    Others
+	teams     map[string]*team
+	listeners map[string]*team
+	tenants   map[string]*team
+	prefixes  []*team // the longest first
+	pools     map[string]*pool
+	places    *bulkhead.Places // operations
+	bytes     *bulkhead.Places
+	doors     *bulkhead.Places // clients' connections
+	tallies   map[string]*Tally
+	revision  int
+}
+
+// pool is one pool with its budgets.
+type pool struct {
+	Pool
+	budgets *contracts.Pool
+	parts   *contracts.Parts
+	out     *bulkhead.Places // operations, as many as there are connections to its servers
+}
+
+// team is one contract, as it is now.
+type team struct {
+	Terms
+	b                 *Broker
+	pool              *pool
+	kinds             map[string]kind
+	place, byte, door *bulkhead.Share
+	out               *bulkhead.Share
+	tally             *Tally
+}
+
+// kind is a traffic type of a team, under the name by which its pool's module knows it.
+type kind struct {
+	name  string
+	stop  float64
+	guess float64
+}
+
+// Tally is what became of a team's operations.
+type Tally struct {
+	Taken, Finished, Declined, Terminated, Left uint64
+	Reasons                                     [len(router.Reasons)]uint64
+	Took                                        float64 // seconds of load
+}
+
+// New makes a broker without contracts: all goes to the platform's core, within the limits.
+func New(now func() float64, set logic.Settings, core *router.Router, limits Limits) *Broker {
+	b := &Broker{now: now, me: set.Me, routers: max(1, set.Routers), seed: set.Seed, limits: limits, tallies: map[string]*Tally{},
+		places: bulkhead.New(limits.Open), bytes: bulkhead.New(limits.Held), doors: bulkhead.New(limits.Connections)}
+	b.plain = &plain{b: b, core: core, types: set.TrafficTypes, hardStops: map[string]float64{}}
+	for _, t := range set.TrafficTypes {
+		b.plain.hardStops[t.Name] = t.HardStop
+	}
+	return b
+}
+
+// Route tells who takes an operation: the team whose listener it came in at, else the one that its client names, else
+// the one whose keys begin so.
+func (b *Broker) Route(listener, tenant, key string) router.Route {
+	if len(b.teams) > 0 {
+		if t := b.listeners[listener]; t != nil {
+			return t
+		}
+		if t := b.tenants[tenant]; t != nil && tenant != "" {
+			return t
+		}
+		for _, t := range b.prefixes {
+			if strings.HasPrefix(key, t.Prefix) {
+				return t
+			}
+		}
+	}
+	if listener != "" || b.others == ToNobody { // a listener whose team has gone is nobody's
+		return nil
+	}
+	return b.plain
+}
+
+// Door tells whether another connection may come in, and takes a place for it. Those at the platform's listener are
+// bounded by the front, all together.
+func (b *Broker) Door(listener string) bool {
+	t := b.listeners[listener]
+	switch {
+	case listener == "":
+		b.doors.Force(nil, 1)
+		return true
+	case t == nil:
+		return false
+	}
+	return b.doors.Take(t.door, 1)
+}
+
+// Gone takes the end of a connection.
+func (b *Broker) Gone(listener string) {
+	if t := b.listeners[listener]; t != nil && t.door.Uses() > 0 {
+		b.doors.Release(t.door, 1)
+	} else {
+		b.doors.Release(nil, 1)
+	}
+}
+
+// plain is the platform's route: no team, no budget.
+type plain struct {
+	b         *Broker
+	core      *router.Router
+	types     []logic.TrafficType // the platform's, which stay with its pool
+	hardStops map[string]float64
+}
+
+func (p *plain) HardStop(kind string) (float64, bool) {
+	most, known := p.hardStops[kind]
+	return most, known
+}
+
+func (p *plain) Room() bool { return p.b.places.Room(nil, 1) && p.b.bytes.Room(nil, 1) }
+
+func (p *plain) Take(op *router.Operation, client router.Client) (*router.Router, uint64) {
+	p.b.places.Force(nil, 1)
+	op.Account = p
+	return p.core, p.core.Taken(op, client)
+}
+
+func (p *plain) Hold(n int) { p.b.bytes.Force(nil, n) }
+
+// Took, Answered and Ended are told by the core; an operation has its place until nothing of it is out.
+func (p *plain) Took(float64) {}
+
+// Answered takes no note.
+func (p *plain) Answered(router.End, router.Reason) {}
+
+// Ended gives the place back.
+func (p *plain) Ended() { p.b.places.Release(nil, 1) }
+
+func (t *team) HardStop(kind string) (float64, bool) {
+	k, known := t.kinds[kind]
+	return k.stop, known
+}
+
+// Room tells whether there is a place for another operation that is not some other team's last one.
+func (t *team) Room() bool {
+	if t.b.places.Room(t.place, 1) && t.b.bytes.Room(t.byte, 1) && t.pool.out.Room(t.out, 1) {
+		return true
+	}
+	t.tally.Taken++
+	t.tally.decline(router.Place)
+	return false
+}
+
+// Take admits an operation or declines it at once.
+func (t *team) Take(op *router.Operation, client router.Client) (*router.Router, uint64) {
+	k := t.kinds[op.Kind]
+	t.tally.Taken++
+	ticket, why, after := t.pool.budgets.Arrive(t.b.now(), t.Team, op.Kind, k.guess)
+	if !why.Admitted() {
+		t.tally.decline(router.Budget)
+		client.Declined(after)
+		return nil, 0
+	}
+	t.b.places.Force(t.place, 1)
+	t.pool.out.Force(t.out, 1)
+	op.Account = &account{team: t, ticket: ticket}
+	op.Kind, op.Tenant = k.name, t.Team
+	return t.pool.Core, t.pool.Core.Taken(op, client)
+}
+
+func (t *team) Hold(n int) { t.b.bytes.Force(t.byte, n) }
+
+func (y *Tally) decline(why router.Reason) {
+	y.Declined++
+	y.Reasons[why]++
+}
+
+// account is one operation of a team. It ends under the contract it began with.
+type account struct {
+	team   *team
+	ticket *contracts.Ticket
+	took   float64
+}
+
+func (a *account) Took(seconds float64) { a.took += seconds }
+
+func (a *account) Answered(end router.End, why router.Reason) {
+	switch y := a.team.tally; end {
+	case router.Finished:
+		y.Finished++
+	case router.Declined:
+		y.decline(why)
+	case router.Terminated:
+		y.Terminated++
+	case router.Left:
+		y.Left++
+	}
+}
+
+func (a *account) Ended() {
+	t := a.team
+	t.pool.budgets.Settle(t.b.now(), a.ticket, a.took)
+	t.b.places.Release(t.place, 1)
+	t.pool.out.Release(t.out, 1)
+	t.tally.Took += a.took
+}
+
+// Change takes new contracts and pools, and gives a line for each change. Operations that are open end under the old
+// ones; balances carry over, also into another pool.
+func (b *Broker) Change(pools []Pool, all []Terms, others Others) []string {
+	now := b.now()
+	b.revision++
+	lines := b.differences(pools, all, others)
+	before, balances := b.teams, map[string]float64{}
+	for name, t := range before {
+		balances[name] = t.pool.budgets.Balance(now, name)
+	}
+	b.changePools(now, pools, all)
+	weights := map[string]float64{}
+	doors := map[string]float64{}
+	for _, t := range all {
+		if weights[t.Team] = cmp.Or(t.Budget, 1e-6); t.Listen != "" {
+			doors[t.Team] = weights[t.Team]
+		}
+	}
+	b.places.Split(b.limits.Open, weights)
+	b.bytes.Split(b.limits.Held, weights)
+	b.doors.Split(b.limits.Connections, doors)
+	b.teams, b.listeners, b.tenants, b.prefixes, b.others = map[string]*team{}, map[string]*team{}, map[string]*team{}, nil, others
+	for _, terms := range all {
+		t := b.team(terms)
+		b.teams[t.Team] = t
+		if t.Listen != "" {
+			b.listeners[t.Listen] = t
+		}
+		if t.Tenant != "" {
+			b.tenants[t.Tenant] = t
+		}
+		if t.Prefix != "" {
+			b.prefixes = append(b.prefixes, t)
+		}
+		if was := before[t.Team]; was != nil && was.Pool != t.Pool {
+			t.pool.budgets.Adopt(now, t.Team, balances[t.Team])
+		}
+	}
+	slices.SortStableFunc(b.prefixes, func(a, c *team) int { return cmp.Compare(len(c.Prefix), len(a.Prefix)) })
+	for name := range b.tallies {
+		if b.teams[name] == nil {
+			delete(b.tallies, name)
+		}
+	}
+	return lines
+}
+
+// changePools sets up budgets, parts, places and the modules' traffic types of all pools.
+func (b *Broker) changePools(now float64, pools []Pool, all []Terms) {
+	old := b.pools
+	b.pools = map[string]*pool{}
+	for _, p := range pools {
+		mine := old[p.Name]
+		if mine == nil {
+			mine = &pool{budgets: contracts.NewPool(now, p.Capacity, b.seed+uint32(len(b.pools))), out: bulkhead.New(p.Connections)}
+			mine.parts = contracts.NewParts(mine.budgets, b.me, b.routers)
+		}
+		mine.Pool = p
+		var theirs []contracts.Contract
+		var types []logic.TrafficType
+		weights := map[string]float64{}
+		for _, t := range all {
+			if t.Pool != p.Name {
+				continue
+			}
+			theirs = append(theirs, t.Contract)
+			weights[t.Team] = cmp.Or(t.Budget, 1e-6)
+			for _, k := range t.Types {
+				k.Name = t.Team + "/" + k.Name
+				types = append(types, k)
+			}
+		}
+		mine.budgets.Change(now, p.Capacity, theirs)
+		mine.parts.Begin(now)
+		mine.out.Split(p.Connections, weights)
+		if p.Name == "" {
+			types = append(types, b.plain.types...)
+		}
+		p.Core.Offer(types)
+		b.pools[p.Name] = mine
+	}
+}
+
+func (b *Broker) team(terms Terms) *team {
+	p := b.pools[terms.Pool]
+	t := &team{Terms: terms, b: b, pool: p, kinds: map[string]kind{}, place: b.places.Share(terms.Team),
+		byte: b.bytes.Share(terms.Team), door: b.doors.Share(terms.Team), out: p.out.Share(terms.Team)}
+	for _, k := range terms.Types {
+		// Until its operations are seen one is taken to cost a quarter of the promised time, as the module does.
+		t.kinds[k.Name] = kind{name: terms.Team + "/" + k.Name, stop: k.HardStop, guess: k.PromisedTime / 4}
+	}
+	if t.tally = b.tallies[terms.Team]; t.tally == nil {
+		t.tally = &Tally{}
+		b.tallies[terms.Team] = t.tally
+	}
+	return t
+}
+
+// differences tells what changes, a line each: what it was, what it is.
+func (b *Broker) differences(pools []Pool, all []Terms, others Others) (lines []string) {
+	say := func(format string, about ...any) { lines = append(lines, fmt.Sprintf(format, about...)) }
+	named := map[string]bool{}
+	for _, t := range all {
+		named[t.Team] = true
+		was := b.teams[t.Team]
+		if was == nil {
+			say("team %s comes: %s", t.Team, t.text())
+		} else if was.Terms.text() != t.text() {
+			say("team %s changes from: %s, to: %s", t.Team, was.Terms.text(), t.text())
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(b.teams)) {
+		if !named[name] {
+			say("team %s goes: %s", name, b.teams[name].Terms.text())
+		}
+	}
+	kept := map[string]bool{}
+	for _, p := range pools {
+		kept[p.Name] = true
+		if was := b.pools[p.Name]; was == nil && p.Name != "" {
+			say("pool %s comes, capacity %v", p.Name, p.Capacity)
+		} else if was != nil && was.Capacity != p.Capacity {
+			say("pool %s changes from capacity %v to %v", cmp.Or(p.Name, "of the platform"), was.Capacity, p.Capacity)
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(b.pools)) {
+		if !kept[name] {
+			say("pool %s goes", name)
+		}
+	}
+	if b.revision > 1 && others != b.others {
+		say("what no contract holds for changes from declined %v to %v", bool(b.others), bool(others))
+	}
+	return lines
+}
+
+// text tells terms in a line.
+func (t Terms) text() string {
+	text := fmt.Sprintf("pool %q, budget %v, burst %v, borrow %v, weight %v, listen %q, tenant %q, prefix %q", t.Pool, t.Budget, t.Burst,
+		t.Borrow, t.Weight, t.Listen, t.Tenant, t.Prefix)
+	for _, k := range t.Types {
+		text += fmt.Sprintf("; %s %s %v/%v s benefit %v", k.Name, [...]string{"at-most-once", "numbered", "reissuable"}[k.Effect],
+			k.PromisedTime, k.HardStop, k.Benefit)
+	}
+	return text
+}
+
+// Revision counts the changes.
+func (b *Broker) Revision() int { return b.revision }
+
+// Words gives what is to be told to the other routers now.
+func (b *Broker) Words() (all [][]byte) {
+	now := b.now()
+	for _, name := range slices.Sorted(maps.Keys(b.pools)) {
+		if words := b.pools[name].parts.Tell(now); words != nil {
+			all = append(all, words)
+		}
+	}
+	return all
+}
+
+// Heard takes another router's words; false if they are not about contracts.
+func (b *Broker) Heard(words []byte) (known bool) {
+	now := b.now()
+	for _, p := range b.pools {
+		known = p.parts.Heard(now, words) || known
+	}
+	return known
+}
+
+// Has tells whether there is such a team.
+func (b *Broker) Has(team string) bool { return b.teams[team] != nil }
+
+// LongestStop is the longest hard stop of any contract.
+func (b *Broker) LongestStop() (longest float64) {
+	for _, t := range b.teams {
+		for _, k := range t.kinds {
+			longest = max(longest, k.stop)
+		}
+	}
+	return longest
+}
+
+// Open is how many operations have a place.
+func (b *Broker) Open() int { return b.places.Used() }
+
+// State is a team as it stands.
+type State struct {
+	Team, Pool            string
+	Budget, Part, Balance float64
+	Tally
+	Open int
+}
+
+// States gives all teams, by name.
+func (b *Broker) States() (all []State) {
+	for _, name := range slices.Sorted(maps.Keys(b.teams)) {
+		t := b.teams[name]
+		s := State{Team: name, Pool: t.Pool, Budget: t.Budget, Tally: *t.tally, Open: t.place.Uses()}
+		if m := t.pool.budgets.Team(name); m != nil {
+			s.Part, s.Balance = m.Part(), m.Balance()
+		}
+		all = append(all, s)
+	}
+	return all
+}
--- a/internal/caches/caches.go
+++ b/internal/caches/caches.go
@@ -29,6 +29,7 @@
 	log     zerolog.Logger
 	servers map[uint64]*server
 	links   int // of all servers
+	closed  bool
 }
 
 // server is one cache server and its connections.
@@ -50,6 +51,9 @@
 	return f
 }
 
+// Limit sets how many connections there may be from now on; those beyond it are not closed.
+func (f *Fleet) Limit(connections int) { f.limits.Connections = connections }
+
 // Listed takes a server's address, known from now on.
 func (f *Fleet) Listed(id uint64, addr netip.AddrPort) {
 	s := f.servers[id]
@@ -77,6 +81,14 @@
 	}
 }
 
+// Close lets go of all connections and timers; nothing may be out.
+func (f *Fleet) Close() {
+	f.closed = true
+	for id := range f.servers {
+		f.Unlisted(id)
+	}
+}
+
 // Execute begins an execution; it is given up after limit.
 func (f *Fleet) Execute(id uint64, op *router.Operation, limit float64, x router.Execution) router.Pending {
 	a := &attempt{op: op, ended: x.Settled}
@@ -112,6 +124,9 @@
 // sweep closes what has stood idle for long: an execution written to a connection that the server is just
 // closing may have run.
 func (f *Fleet) sweep() {
+	if f.closed {
+		return
+	}
 	old := f.loop.Now() - f.limits.Idle*3/4
 	for _, s := range f.servers {
 		for len(s.idle) > 0 && s.idle[0].since < old {
--- a/internal/decide/contracts/contracts.go
+++ b/internal/decide/contracts/contracts.go
@@ -476,6 +476,29 @@
 	p.recount()
 }
 
+// Balance is what a team may spend of its own at a time, 0 if there is none such.
+func (p *Pool) Balance(now float64, team string) float64 {
+	p.advance(now)
+	t := p.teams[team]
+	if t == nil {
+		return 0
+	}
+	p.settle(t)
+	return t.balance
+}
+
+// Adopt gives a team the balance that it had in another pool, as far as its burst here allows.
+func (p *Pool) Adopt(now float64, team string, balance float64) {
+	p.advance(now)
+	if t := p.teams[team]; t != nil {
+		p.settle(t)
+		balance = min(balance, t.holds())
+		t.Totals.Start += balance - t.balance
+		t.balance = balance
+		p.await(t)
+	}
+}
+
 // SetPart sets the part of a team's budget that this router has.
 func (p *Pool) SetPart(now float64, t *Team, part float64) {
 	p.advance(now)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -14,12 +14,10 @@
 	"bendtrestle/internal/sock"
 )
 
-// Limits bound what is taken. Beyond them a command is declined: it surely never ran.
+// Limits bound the connections. What is open or held is bounded by the desk.
 type Limits struct {
 	Connections int // beyond these, idle ones make room, else the new one is declined and closed
 	Spare       int // so many beyond them are accepted to be declined
-	Open        int // operations
-	Held        int // bytes of values
 }
 
 const (
@@ -36,26 +34,22 @@
 
 // Front is all clients.
 type Front struct {
-	loop      *sock.Loop
-	router    *router.Router
-	limits    Limits
-	hardStops map[string]float64
-	clients   map[*client]bool
-	held      int
-	ready     bool // mn is answered MN
-	leaving   bool // connections are closed as they become idle
-	salt      maphash.Seed
-	ids       [recent]struct {
+	loop    *sock.Loop
+	desk    router.Desk
+	limits  Limits
+	clients map[*client]bool
+	ready   bool // mn is answered MN
+	leaving bool // connections are closed as they become idle
+	salt    maphash.Seed
+	ids     [recent]struct {
 		hash  uint64
 		until float64
 	}
 }
 
-// New makes a front without clients. hardStops tells by traffic type how long clients wait at most; a type that
-// it lacks is not taken.
-func New(loop *sock.Loop, r *router.Router, limits Limits, hardStops map[string]float64) *Front {
-	f := &Front{loop: loop, router: r, limits: limits, hardStops: hardStops, clients: map[*client]bool{},
-		salt: maphash.MakeSeed()}
+// New makes a front without clients.
+func New(loop *sock.Loop, desk router.Desk, limits Limits) *Front {
+	f := &Front{loop: loop, desk: desk, limits: limits, clients: map[*client]bool{}, salt: maphash.MakeSeed()}
 	f.sweep()
 	return f
 }
@@ -111,13 +105,20 @@
 // Room tells whether another connection may be accepted.
 func (f *Front) Room() bool { return len(f.clients) < f.limits.Connections+f.limits.Spare }
 
-// Accepted takes a new connection.
-func (f *Front) Accepted(conn *sock.Conn) sock.Handler {
-	c := &client{f: f, conn: conn, used: f.loop.Now(), came: f.loop.Now()}
+// At gives what takes the connections of a listener, which has a name.
+func (f *Front) At(listener string) func(*sock.Conn) sock.Handler {
+	return func(conn *sock.Conn) sock.Handler { return f.accepted(conn, listener) }
+}
+
+func (f *Front) accepted(conn *sock.Conn, listener string) sock.Handler {
+	c := &client{f: f, conn: conn, listener: listener, used: f.loop.Now(), came: f.loop.Now()}
 	// From half of the places on one makes room for another: clients may hold only so many themselves.
 	if n := len(f.clients); n >= f.limits.Connections/2 && !f.evict() && n >= f.limits.Connections {
 		c.surplus = true
 	}
+	if c.placed = f.desk.Door(listener); !c.placed {
+		c.surplus = true
+	}
 	f.clients[c] = true
 	return c
 }
@@ -144,24 +145,41 @@
 
 // client is one connection.
 type client struct {
-	f       *Front
-	conn    *sock.Conn
-	reader  meta.CommandReader
-	answers []*answer // owed, in the order of the commands
-	rest    [][]byte  // answers that are not in the connection's buffer yet
-	used    float64   // when a byte last came or left
-	came    float64
-	began   float64 // when the command that is not whole yet began
-	useful  bool    // an operation of its was taken, or it asked whether the router serves
-	faults  int     // commands that can't be used
-	surplus bool    // beyond the bound: declined and closed
-	ending  bool    // nothing more is read, and it is closed once all is written
+	f        *Front
+	conn     *sock.Conn
+	reader   meta.CommandReader
+	answers  []*answer // owed, in the order of the commands
+	rest     []piece   // of answers that are not in the connection's buffer yet
+	listener string
+	placed   bool    // it has a place at its listener
+	used     float64 // when a byte last came or left
+	came     float64
+	began    float64 // when the command that is not whole yet began
+	useful   bool    // an operation of its was taken, or it asked whether the router serves
+	faults   int     // commands that can't be used
+	surplus  bool    // beyond the bound: declined and closed
+	ending   bool    // nothing more is read, and it is closed once all is written
+}
+
+// piece is a part of an answer's text, held for a route.
+type piece struct {
+	text  []byte
+	route router.Route
+}
+
+// hold counts bytes for a route; what is said from here is nobody's.
+func hold(r router.Route, n int) {
+	if r != nil {
+		r.Hold(n)
+	}
 }
 
 // answer is what is owed for one command.
 type answer struct {
 	c         *client
-	operation uint64 // 0: none was made
+	core      *router.Router // which has the operation; nil: none was made
+	operation uint64
+	route     router.Route
 	op        *router.Operation
 	held      int // bytes of its value, until it is answered
 	parts     [][]byte
@@ -229,9 +247,14 @@
 	f := c.f
 	op.Kind, _ = meta.Figure(op.Figures, "c")
 	op.Tenant, _ = meta.Figure(op.Figures, "tenant")
-	most, known := f.hardStops[op.Kind]
+	route, most, known := f.desk.Route(c.listener, op.Tenant, op.Key), 0.0, false
+	if route != nil {
+		most, known = route.HardStop(op.Kind)
+	}
 	left, fault := stated(op.Figures)
 	switch {
+	case route == nil:
+		fault = "CLIENT_ERROR no contract holds for this traffic"
 	case !known: // no cache server could use it either
 		fault = "CLIENT_ERROR the type c is unknown"
 	case fault == "" && left == 0:
@@ -244,13 +267,13 @@
 	if op.Left = left; most > 0 {
 		op.Left = min(left, most)
 	}
-	full := c.surplus || f.router.Open() >= f.limits.Open || f.held >= f.limits.Held
+	full := c.surplus || !route.Room()
 	if !full && f.repeated(op.ID, op.Left) {
 		c.Bad("CLIENT_ERROR the id O is another operation's")
 		return
 	}
 	c.useful = true
-	a := &answer{c: c, op: &op}
+	a := &answer{c: c, op: &op, route: route}
 	c.answers = append(c.answers, a)
 	if full {
 		c.ending = c.surplus
@@ -258,8 +281,8 @@
 		return
 	}
 	a.held = len(op.Value) // it may be answered before Taken returns
-	f.held += a.held
-	a.operation = f.router.Taken(a.op, a)
+	hold(route, a.held)
+	a.core, a.operation = route.Take(a.op, a)
 }
 
 // stated reads how long a client will wait, in seconds; 0 if it does not say.
@@ -293,10 +316,10 @@
 // give takes an answer's text and writes what is due.
 func (a *answer) give(parts ...[]byte) {
 	a.parts = parts
-	a.c.f.held -= a.held
+	hold(a.route, -a.held)
 	a.held = 0
 	for _, p := range parts {
-		a.c.f.held += len(p)
+		hold(a.route, len(p))
 	}
 	c := a.c
 	if !c.f.clients[c] {
@@ -304,7 +327,9 @@
 		return
 	}
 	for len(c.answers) > 0 && c.answers[0].parts != nil {
-		c.rest = append(c.rest, c.answers[0].parts...)
+		for _, p := range c.answers[0].parts {
+			c.rest = append(c.rest, piece{p, c.answers[0].route})
+		}
 		c.answers = c.answers[1:]
 	}
 	c.Flushed()
@@ -313,18 +338,19 @@
 // drop forgets an answer's text.
 func (c *client) drop(a *answer) {
 	for _, p := range a.parts {
-		c.f.held -= len(p)
+		hold(a.route, -len(p))
 	}
 }
 
 // Flushed fills the connection's buffer with what waits, and reads on if that was held up.
 func (c *client) Flushed() {
 	for len(c.rest) > 0 {
-		n := c.conn.Write(c.rest[0])
-		if c.f.held -= n; n > 0 {
+		p := &c.rest[0]
+		n := c.conn.Write(p.text)
+		if hold(p.route, -n); n > 0 {
 			c.used = c.f.loop.Now()
 		}
-		if c.rest[0] = c.rest[0][n:]; len(c.rest[0]) > 0 {
+		if p.text = p.text[n:]; len(p.text) > 0 {
 			return
 		}
 		c.rest = c.rest[1:]
@@ -373,15 +399,18 @@
 		return
 	}
 	delete(f.clients, c)
+	if c.placed {
+		f.desk.Gone(c.listener)
+	}
 	for _, p := range c.rest {
-		f.held -= len(p)
+		hold(p.route, -len(p.text))
 	}
 	for _, a := range c.answers {
 		if a.parts != nil {
 			c.drop(a)
-		} else if a.operation != 0 {
-			f.held -= a.held
-			f.router.Left(a.operation)
+		} else if a.core != nil {
+			hold(a.route, -a.held)
+			a.core.Left(a.operation)
 		}
 	}
 }
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -35,15 +35,44 @@
 func (h *held) Drop()       { h.c <- "dropped" }
 func (h *held) DropUnsent() {}
 
+// bounds are a front's, and its desk's.
+type bounds struct {
+	Limits
+	open, bytes int
+}
+
+// desk takes all of one traffic type, within bounds.
+type desk struct {
+	bounds
+	core *router.Router
+	held int
+}
+
+func (d *desk) Route(_, tenant, _ string) router.Route {
+	if tenant == "nobody" {
+		return nil
+	}
+	return d
+}
+func (d *desk) Door(listener string) bool            { return listener != "full" }
+func (d *desk) Gone(string)                          {}
+func (d *desk) HardStop(kind string) (float64, bool) { return 5000, kind == "t" }
+func (d *desk) Room() bool                           { return d.core.Open() < d.open && d.held < d.bytes }
+func (d *desk) Hold(n int)                           { d.held += n }
+func (d *desk) Take(op *router.Operation, c router.Client) (*router.Router, uint64) {
+	return d.core, d.core.Taken(op, c)
+}
+
 // served is a front on a loop, with one cache server.
 type served struct {
 	*Front
+	desk *desk
 	caches
 	t    *testing.T
 	addr string
 }
 
-func serve(t *testing.T, limits Limits) served {
+func serve(t *testing.T, limits bounds) served {
 	l, err := sock.New()
 	if err != nil {
 		t.Fatal(err)
@@ -51,7 +80,7 @@
 	go l.Run()
 	t.Cleanup(func() { l.Post(l.Stop) })
 	free, _ := net.Listen("tcp", "127.0.0.1:0")
-	s := served{caches: caches{make(chan *held, 1000)}, t: t, addr: free.Addr().String()}
+	s := served{caches: caches{make(chan *held, 1000)}, desk: &desk{bounds: limits}, t: t, addr: free.Addr().String()}
 	free.Close()
 	done := make(chan error)
 	l.Post(func() {
@@ -59,8 +88,9 @@
 			Effect: logic.Reissuable, PromisedTime: 1000, HardStop: 5000, Benefit: 1}}}, router.Outside{Clock: l,
 			Caches: s.caches, Tell: func([]byte) {}, Watch: func(bool) {}, Log: zerolog.Nop()}, router.Logic)
 		r.Listed(logic.Snapshot, []logic.Member{{ID: 1, Mode: logic.InService, Capacity: 1}})
-		s.Front = New(l, r, limits, map[string]float64{"t": 5000})
-		_, err := l.Listen(s.addr, s.Room, s.Accepted)
+		s.desk.core = r
+		s.Front = New(l, s.desk, limits.Limits)
+		_, err := l.Listen(s.addr, s.Room, s.At(""))
 		done <- err
 	})
 	if err := <-done; err != nil {
@@ -97,7 +127,7 @@
 	}
 }
 
-var ample = Limits{Connections: 10, Open: 1000, Held: 1 << 20}
+var ample = bounds{Limits{Connections: 10}, 1000, 1 << 20}
 
 func TestAnswersInTheOrderOfTheCommands(t *testing.T) {
 	s := serve(t, ample)
@@ -111,8 +141,8 @@
 	s.finish(first, "a value")
 	want(t, in, "VA 7 O1\r\na value\r\nHD O2 c7\r\nERROR\r\nSERVER_ERROR starting\r\n")
 	s.do(func() {
-		if s.Ready(); s.held != 0 {
-			t.Errorf("%d bytes count as held, though all is written", s.held)
+		if s.Ready(); s.desk.held != 0 {
+			t.Errorf("%d bytes count as held, though all is written", s.desk.held)
 		}
 	})
 	fmt.Fprintf(conn, "mn\r\n")
@@ -169,22 +199,22 @@
 
 // Near a bound what comes is declined, not crashed over: it surely never ran.
 func TestDeclinedNearABound(t *testing.T) {
-	for name, limits := range map[string]Limits{"open": {10, 1, 1, 1 << 20}, "held": {10, 1, 100, 1}} {
+	for name, limits := range map[string]bounds{"open": {Limits{10, 1}, 1, 1 << 20}, "held": {Limits{10, 1}, 100, 1}} {
 		s := serve(t, limits)
 		conn, in := s.dial()
 		fmt.Fprintf(conn, "ms k 2 O1 Pc=t\r\nhi\r\nmg k v O2 Pc=t\r\n")
 		s.finish(<-s.began, "1")
 		want(t, in, "HD O1 c1\r\nSERVER_ERROR busy\r\n")
 		s.do(func() {
-			if s.held != 0 {
-				t.Errorf("%s: %d bytes count as held", name, s.held)
+			if s.desk.held != 0 {
+				t.Errorf("%s: %d bytes count as held", name, s.desk.held)
 			}
 		})
 	}
 }
 
 func TestConnectionsBeyondTheBound(t *testing.T) {
-	s := serve(t, Limits{Connections: 1, Spare: 1, Open: 10, Held: 1 << 20})
+	s := serve(t, bounds{Limits{Connections: 1, Spare: 1}, 10, 1 << 20})
 	old, oldIn := s.dial()
 	fmt.Fprintf(old, "mg k v O1 Pc=t\r\n")
 	h := <-s.began
@@ -312,7 +342,7 @@
 // Clients that ask once and stay come faster than idle connections run out: long before all places are taken each new
 // one takes the place of the longest idle, for clients hold only a part of the descriptors themselves.
 func TestIdleMakeRoomBeforeAllIsTaken(t *testing.T) {
-	s := serve(t, Limits{Connections: 4, Spare: 1, Open: 10, Held: 1 << 20})
+	s := serve(t, bounds{Limits{Connections: 4, Spare: 1}, 10, 1 << 20})
 	var first *bufio.Reader
 	for i := range 3 {
 		conn, in := s.dial()
@@ -339,7 +369,7 @@
 
 // Of those that hold the places, one that never sent anything usable goes first, however short its silence is.
 func TestSilentMakeRoom(t *testing.T) {
-	s := serve(t, Limits{Connections: 2, Spare: 1, Open: 10, Held: 1 << 20})
+	s := serve(t, bounds{Limits{Connections: 2, Spare: 1}, 10, 1 << 20})
 	usual, usualIn := s.dial()
 	fmt.Fprintf(usual, "mn\r\n")
 	want(t, usualIn, "SERVER_ERROR starting\r\n")
@@ -403,7 +433,7 @@
 
 // A client that reads nothing holds memory: after a while it is let go of.
 func TestClientThatReadsNothing(t *testing.T) {
-	s := serve(t, Limits{Connections: 10, Open: 1000, Held: 64 << 20})
+	s := serve(t, bounds{Limits{Connections: 10}, 1000, 64 << 20})
 	conn, _ := s.dial()
 	stuck := false
 	for i := 0; i < 1000 && !stuck; i++ {
@@ -420,8 +450,8 @@
 			c.used -= patience + 1
 		}
 		s.sweep()
-		if s.Clients() != 0 || s.held != 0 {
-			t.Errorf("%d clients are left, %d bytes held", s.Clients(), s.held)
+		if s.Clients() != 0 || s.desk.held != 0 {
+			t.Errorf("%d clients are left, %d bytes held", s.Clients(), s.desk.held)
 		}
 	})
 	if !stuck {
--- a/internal/lab/helpers_test.go
+++ b/internal/lab/helpers_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"os"
 	"strings"
 	"testing"
 
 	"bendtrestle/internal/config"
 	"bendtrestle/internal/lab/baseline"
+	"bendtrestle/internal/operators"
 	"bendtrestle/internal/router"
 	"bendtrestle/internal/service"
 	"bendtrestle/internal/standin"
@@ -33,11 +35,16 @@
 			panic(err)
 		}
 	}
-	conf, err := config.Read(os.Getenv)
+	read := func() (service.Setup, error) {
+		theirs, err := operators.Read(os.Getenv("GW_OPERATORS"))
+		conf, other := config.Read(os.Getenv)
+		return service.Setup{Platform: conf, Operators: theirs}, errors.Join(err, other)
+	}
+	set, err := read()
 	if err != nil {
 		panic(err)
 	}
-	if err = service.Run(conf, make, func() (config.Config, error) { return config.Read(os.Getenv) }, zerolog.New(os.Stderr).With().Timestamp().Logger()); err != nil {
+	if err = service.Run(set, make, read, zerolog.New(os.Stderr).With().Timestamp().Logger()); err != nil {
 		panic(err)
 	}
 }
--- /dev/null
+++ b/internal/operators/contracts.go
@@ -0,0 +1,300 @@
+package operators
+
+import (
+	"cmp"
+	"fmt"
+	"net/netip"
+	"strings"
+
+	"bendtrestle/internal/broker"
+	"bendtrestle/internal/decide/contracts"
+	"bendtrestle/logic"
+)
+
+// Broker says what becomes of traffic that no contract holds for.
+type Broker struct {
+	Others string `toml:"others"` // platform: its pool takes it; nobody: it is an error
+}
+
+// Pool is a set of servers besides the platform's. What it does not say is as the platform's.
+type Pool struct {
+	Name             string   `toml:"name"`
+	Discovery        string   `toml:"discovery"`
+	Capacity         float64  `toml:"capacity"`    // seconds of load a second, over all routers
+	Connections      float64  `toml:"connections"` // part of the connections to servers
+	MostExecutions   *int     `toml:"most_executions"`
+	SecondCopies     *bool    `toml:"second_copies"`
+	Cancelling       *bool    `toml:"cancelling"`
+	ConnectTimeoutMS *float64 `toml:"connect_timeout_ms"`
+	Idle             *float64 `toml:"idle"`
+	PerConnection    *int     `toml:"per_connection"`
+	ColdFrom         *float64 `toml:"cold_from"`
+	Warm             *float64 `toml:"warm"`
+	Fall             *float64 `toml:"fall"`
+	Multiple         *float64 `toml:"multiple"`
+}
+
+// Team is a contract.
+type Team struct {
+	Name   string   `toml:"name"`
+	Pool   string   `toml:"pool"`
+	Listen string   `toml:"listen"`
+	Tenant string   `toml:"tenant"`
+	Prefix string   `toml:"prefix"`
+	Budget float64  `toml:"budget"`
+	Burst  *float64 `toml:"burst"`
+	Borrow float64  `toml:"borrow"`
+	Weight float64  `toml:"weight"`
+	Types  []Type   `toml:"type"`
+}
+
+// Type is a traffic type of a team.
+type Type struct {
+	Name           string  `toml:"name"`
+	Effect         string  `toml:"effect"`
+	Group          string  `toml:"group"`
+	Window         float64 `toml:"window"`
+	PromisedMS     float64 `toml:"promised_ms"`
+	HardStopMS     float64 `toml:"hard_stop_ms"`
+	Benefit        float64 `toml:"benefit"`
+	OverdueBenefit float64 `toml:"overdue_benefit"`
+}
+
+var (
+	effects = map[string]logic.Effect{"reissuable": logic.Reissuable, "numbered": logic.Numbered, "at-most-once": logic.AtMostOnce}
+	groups  = map[string]logic.Group{"": logic.All, "all": logic.All, "zone": logic.Zone, "cell": logic.Cell}
+)
+
+const (
+	longestKey = 250 // bytes, by the protocol
+	mostTeams  = 10000
+)
+
+// checkContracts tells every fault of pools and teams.
+func (f *File) checkContracts() {
+	if f.Broker.Others != "platform" && f.Broker.Others != "nobody" {
+		f.from.Fault("broker.others", "%q is not one of platform, nobody", f.Broker.Others)
+	}
+	capacity, connections, budgets := map[string]float64{"": 0}, 0.0, map[string]float64{}
+	for i, p := range f.Pools {
+		key := func(k string) string { return fmt.Sprintf("pool.%d.%s", i, k) }
+		f.word(key("name"), p.Name)
+		if _, twice := capacity[p.Name]; twice && p.Name != "" {
+			f.from.Fault(key("name"), "%q is there twice", p.Name)
+		}
+		capacity[p.Name] = p.Capacity
+		f.address(key("discovery"), p.Discovery)
+		f.notBelow(key("capacity"), p.Capacity, 0)
+		if !(p.Connections > 0 && p.Connections <= 0.9) {
+			f.from.Fault(key("connections"), "%v is not above 0 and at most 0.9 of all", p.Connections)
+		}
+		connections += p.Connections
+		for name, x := range map[string]*float64{"connect_timeout_ms": p.ConnectTimeoutMS, "idle": p.Idle, "warm": p.Warm, "fall": p.Fall,
+			"multiple": p.Multiple, "cold_from": p.ColdFrom} {
+			if x != nil && !(*x > 0) {
+				f.from.Fault(key(name), "%v is not above 0", *x)
+			}
+		}
+		for name, x := range map[string]*int{"most_executions": p.MostExecutions, "per_connection": p.PerConnection} {
+			if x != nil && *x < 1 {
+				f.from.Fault(key(name), "%d is not above 0", *x)
+			}
+		}
+	}
+	if connections > 0.9 {
+		f.from.Fault("pool", "together they have %v of the connections, more than 0.9: the platform's pool needs some", connections)
+	}
+	if len(f.Teams) > mostTeams {
+		f.from.Fault("team", "%d are more than %d", len(f.Teams), mostTeams)
+	}
+	seen := map[string]string{}
+	once := func(key, what, value string) {
+		if value == "" {
+			return
+		}
+		if first, twice := seen[what+value]; twice {
+			f.from.Fault(key, "%q is team %s's already: this route would never match", value, first)
+		}
+	}
+	for i, t := range f.Teams {
+		key := func(k string) string { return fmt.Sprintf("team.%d.%s", i, k) }
+		f.word(key("name"), t.Name)
+		if _, twice := seen["name"+t.Name]; twice {
+			f.from.Fault(key("name"), "%q is there twice", t.Name)
+		}
+		if _, there := capacity[t.Pool]; !there {
+			f.from.Fault(key("pool"), "%q is not the name of a pool", t.Pool)
+		}
+		if t.Listen == "" && t.Tenant == "" && t.Prefix == "" {
+			f.from.Fault(key("tenant"), "missing, as are listen and prefix: nothing would ever match")
+		}
+		if t.Listen != "" {
+			f.address(key("listen"), t.Listen)
+		}
+		if strings.ContainsAny(t.Tenant, " ,=\r\n") {
+			f.from.Fault(key("tenant"), "%q can never match: no client can name it", t.Tenant)
+		}
+		if strings.ContainsAny(t.Prefix, " \r\n") || len(t.Prefix) > longestKey {
+			f.from.Fault(key("prefix"), "%q can never match: no key begins so", t.Prefix)
+		}
+		once(key("listen"), "listen", t.Listen)
+		once(key("tenant"), "tenant", t.Tenant)
+		once(key("prefix"), "prefix", t.Prefix)
+		seen["name"+t.Name], seen["listen"+t.Listen], seen["tenant"+t.Tenant], seen["prefix"+t.Prefix] = t.Name, t.Name, t.Name, t.Name
+		f.notBelow(key("budget"), t.Budget, 0)
+		f.notBelow(key("borrow"), t.Borrow, 0)
+		f.notBelow(key("weight"), t.Weight, 0)
+		if t.Burst != nil {
+			f.notBelow(key("burst"), *t.Burst, 0)
+		}
+		budgets[t.Pool] += t.Budget
+		if sum := budgets[t.Pool]; capacity[t.Pool] > 0 && sum > capacity[t.Pool]*(1+1e-9) && sum-t.Budget <= capacity[t.Pool]*(1+1e-9) {
+			f.from.Fault(key("budget"), "with it the budgets of pool %q come to %v, more than its capacity, %v", t.Pool, sum, capacity[t.Pool])
+		}
+		f.checkTypes(fmt.Sprintf("team.%d", i), t.Types)
+	}
+}
+
+func (f *File) checkTypes(team string, types []Type) {
+	if len(types) == 0 {
+		f.from.Fault(team+".type", "none: a contract needs at least one [[team.type]]")
+	}
+	names := map[string]bool{}
+	for i, k := range types {
+		key := func(name string) string { return fmt.Sprintf("%s.type.%d.%s", team, i, name) }
+		f.word(key("name"), k.Name)
+		if names[k.Name] {
+			f.from.Fault(key("name"), "traffic type %q is there twice", k.Name)
+		}
+		names[k.Name] = true
+		if _, known := effects[k.Effect]; !known {
+			f.from.Fault(key("effect"), "%q is not one of reissuable, numbered, at-most-once", k.Effect)
+		}
+		if _, known := groups[k.Group]; !known {
+			f.from.Fault(key("group"), "%q is not one of all, zone, cell", k.Group)
+		}
+		if k.Effect == "numbered" && !(k.Window > 0) {
+			f.from.Fault(key("window"), "%v is not above 0: nobody would know a repeat", k.Window)
+		}
+		if !(k.PromisedMS > 0) {
+			f.from.Fault(key("promised_ms"), "%v is not above 0", k.PromisedMS)
+		}
+		if k.HardStopMS < k.PromisedMS {
+			f.from.Fault(key("hard_stop_ms"), "%v is before the promised time, %v", k.HardStopMS, k.PromisedMS)
+		}
+		if !(k.Benefit > 0) {
+			f.from.Fault(key("benefit"), "%v is not above 0", k.Benefit)
+		}
+		if !(k.OverdueBenefit >= 0 && k.OverdueBenefit <= 1) {
+			f.from.Fault(key("overdue_benefit"), "%v is not between 0 and 1", k.OverdueBenefit)
+		}
+	}
+}
+
+func (f *File) word(key, text string) {
+	if text == "" || strings.ContainsAny(text, " ,=/\r\n") {
+		f.from.Fault(key, "%q is not a word without spaces, commas, slashes and equals signs", text)
+	}
+}
+
+func (f *File) address(key, text string) {
+	if _, err := netip.ParseAddrPort(text); err != nil {
+		f.from.Fault(key, "%q is not an address and a port", text)
+	}
+}
+
+func (f *File) notBelow(key string, x, least float64) {
+	if !(x >= least) {
+		f.from.Fault(key, "%v is below %v", x, least)
+	}
+}
+
+// Terms gives the contracts as the broker takes them.
+func (f *File) Terms() (all []broker.Terms) {
+	for _, t := range f.Teams {
+		burst := t.Budget // what it may do in a second
+		if t.Burst != nil {
+			burst = *t.Burst
+		}
+		terms := broker.Terms{Pool: t.Pool, Listen: t.Listen, Tenant: t.Tenant, Prefix: t.Prefix,
+			Contract: contracts.Contract{Team: t.Name, Budget: t.Budget, Burst: burst, Borrow: t.Borrow, Weight: t.Weight}}
+		for _, k := range t.Types {
+			terms.Types = append(terms.Types, logic.TrafficType{Name: k.Name, Effect: effects[k.Effect], Group: groups[k.Group],
+				Window: k.Window, PromisedTime: k.PromisedMS / 1e3, HardStop: k.HardStopMS / 1e3, Benefit: k.Benefit,
+				OverdueBenefit: k.OverdueBenefit})
+		}
+		all = append(all, terms)
+	}
+	return all
+}
+
+// Others says who takes what no contract holds for.
+func (f *File) Others() broker.Others { return broker.Others(f.Broker.Others == "nobody") }
+
+// Settings gives the module's settings for a pool: the platform's, but for what the pool says.
+func (p Pool) Settings(set logic.Settings) logic.Settings {
+	set.TrafficTypes, set.Tenants = nil, nil
+	set.Apart, set.Aside, set.Peers, set.OnRequest, set.Ordered = true, false, false, false, false
+	take(&set.MostExecutions, p.MostExecutions)
+	take(&set.SecondCopies, p.SecondCopies)
+	take(&set.Cancelling, p.Cancelling)
+	take(&set.StartCapacity, p.ColdFrom)
+	take(&set.WarmWithin, p.Warm)
+	take(&set.Fall, p.Fall)
+	take(&set.TipMultiple, p.Multiple)
+	return set
+}
+
+func take[T any](to *T, from *T) {
+	if from != nil {
+		*to = *from
+	}
+}
+
+// ConnectTimeout, ConnIdle and Streams give what the pool says, else the platform's.
+func (p Pool) ConnectTimeout(usual float64) float64 {
+	if p.ConnectTimeoutMS != nil {
+		return *p.ConnectTimeoutMS / 1e3
+	}
+	return usual
+}
+
+// ConnIdle is after how long its servers close an idle connection.
+func (p Pool) ConnIdle(usual float64) float64 {
+	take(&usual, p.Idle)
+	return usual
+}
+
+// Streams is how many executions a connection to its servers carries at once.
+func (p Pool) Streams(usual int) int {
+	take(&usual, p.PerConnection)
+	return usual
+}
+
+// Table gives the contracts as rows, the first being their headings.
+func (f *File) Table() [][]string {
+	if len(f.Teams) == 0 {
+		return nil
+	}
+	rows := [][]string{{"TEAM", "POOL", "KNOWN BY", "BUDGET s/s", "BURST s", "BORROW s/s", "TYPE", "EFFECT", "PROMISED ms", "HARD STOP ms", "BENEFIT"}}
+	for i, t := range f.Terms() {
+		var by []string
+		for _, route := range [][2]string{{"listen", t.Listen}, {"tenant", t.Tenant}, {"prefix", t.Prefix}} {
+			if route[1] != "" {
+				by = append(by, route[0]+" "+route[1])
+			}
+		}
+		for j, k := range f.Teams[i].Types {
+			row := []string{t.Team, cmp.Or(t.Pool, "platform's"), strings.Join(by, ", "), fmt.Sprint(t.Budget), fmt.Sprint(t.Burst), fmt.Sprint(t.Borrow)}
+			if j > 0 {
+				row = []string{"", "", "", "", "", ""}
+			}
+			effect := k.Effect
+			if k.Effect == "numbered" {
+				effect += fmt.Sprintf(" in %s, %v s", cmp.Or(k.Group, "all"), k.Window)
+			}
+			rows = append(rows, append(row, k.Name, effect, fmt.Sprint(k.PromisedMS), fmt.Sprint(k.HardStopMS), fmt.Sprint(k.Benefit)))
+		}
+	}
+	return rows
+}
--- a/internal/operators/operators.go
+++ b/internal/operators/operators.go
@@ -12,7 +12,10 @@
 
 // File is the operators' file as it is in effect.
 type File struct {
-	Log Log `toml:"log"`
+	Log    Log    `toml:"log"`
+	Broker Broker `toml:"broker"`
+	Pools  []Pool `toml:"pool"`
+	Teams  []Team `toml:"team"`
 
 	path string
 	from *tomlfile.File
@@ -29,7 +32,9 @@
 	forms  = []string{"json", "console"}
 )
 
-func usual() File { return File{Log: Log{Level: "info", Form: "json"}} }
+func usual() File {
+	return File{Log: Log{Level: "info", Form: "json"}, Broker: Broker{Others: "platform"}}
+}
 
 // Read reads and checks the file at a path; an empty path is no file. All faults are told, a line each.
 func Read(path string) (File, error) {
@@ -54,6 +59,7 @@
 	}
 	oneOf("log.level", f.Log.Level, levels)
 	oneOf("log.form", f.Log.Form, forms)
+	f.checkContracts()
 }
 
 // Setting is one value in effect and where it comes from.
@@ -67,8 +73,19 @@
 		}
 		return "default"
 	}
-	return []Setting{
+	all := []Setting{
 		{"log.level", f.Log.Level, from("log.level")},
 		{"log.form", f.Log.Form, from("log.form")},
+		{"broker.others", f.Broker.Others, from("broker.others")},
+	}
+	for i, p := range f.Pools {
+		capacity := "not stated"
+		if p.Capacity > 0 {
+			capacity = fmt.Sprintf("%v s of load a second", p.Capacity)
+		}
+		at := fmt.Sprintf("pool.%d", i)
+		all = append(all, Setting{"pool " + p.Name, fmt.Sprintf("list at %s, capacity %s, %v of the connections", p.Discovery, capacity,
+			p.Connections), from(at)})
 	}
+	return all
 }
--- /dev/null
+++ b/internal/service/pool.go
@@ -0,0 +1,145 @@
+package service
+
+import (
+	"context"
+	"maps"
+
+	"bendtrestle/internal/caches"
+	"bendtrestle/internal/discovery"
+	"bendtrestle/internal/router"
+	"bendtrestle/logic"
+
+	"github.com/rs/zerolog"
+)
+
+// pool is a set of servers with a list, connections and a module of its own. The platform's deployment is one; what
+// becomes of one costs the others nothing.
+type pool struct {
+	s        *Service
+	name     string
+	router   *router.Router
+	fleet    *caches.Fleet
+	onDemand bool            // its module asks for the list
+	listed   map[uint64]bool // the servers that the list holds
+	told     uint64          // the list's generation as the list service last told it
+	watch    *watch          // whose news count
+	next     *watch          // that watch's successor, until it has told a whole list
+	log      zerolog.Logger
+}
+
+// watch is a call to a list service that goes on.
+type watch struct {
+	addr string
+	stop context.CancelFunc
+}
+
+// newPool makes one without servers.
+func (s *Service) newPool(name string, set logic.Settings, connections int, connect, idle float64, streams int) *pool {
+	p := &pool{s: s, name: name, onDemand: set.OnRequest, listed: map[uint64]bool{}, log: s.log}
+	if name != "" {
+		p.log = s.log.With().Str("pool", name).Logger()
+	}
+	// A reply is sent in one go: its parts lie closer than the round trips of a new connection, for which the
+	// connect timeout leaves room.
+	p.fleet = caches.New(s.loop, caches.Limits{Connections: connections, PerConnection: streams, ConnectTimeout: connect,
+		Stall: connect / 3, Idle: idle}, p.log)
+	watch := func(on bool) {} // the list is watched in any case
+	p.router = router.New(set, router.Outside{Clock: s.loop, Caches: p.fleet, Tell: s.peers.Tell, Watch: watch, Log: p.log}, s.module)
+	return p
+}
+
+// follow moves the watch to a list service. The watch before it goes on until the new one has told a whole list: so
+// no news is lost between them, and an address where nothing answers costs nothing.
+func (p *pool) follow(addr string) {
+	if p.next != nil {
+		if p.next.addr == addr {
+			return
+		}
+		p.next.stop()
+		p.next = nil
+	}
+	if p.watch != nil && p.watch.addr == addr {
+		return
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	w := &watch{addr: addr, stop: stop}
+	p.next = w
+	go discovery.Watch(ctx, addr, p.told, func(l discovery.List) {
+		p.s.loop.Post(func() { p.news(w, l) })
+	}, func(error) {
+		if p.onDemand { // elsewhere the module has asked for nothing
+			p.s.loop.Post(func() { p.failed(w) })
+		}
+	}, p.log.With().Str("discovery", addr).Logger())
+}
+
+// stop ends its watches.
+func (p *pool) stop() {
+	for _, w := range []*watch{p.watch, p.next} {
+		if w != nil {
+			w.stop()
+		}
+	}
+}
+
+func (p *pool) news(w *watch, l discovery.List) {
+	if w == p.next {
+		if p.watch != nil {
+			p.watch.stop()
+		}
+		p.watch, p.next = w, nil
+	}
+	if w != p.watch {
+		return // moved from since
+	}
+	if p.told = l.Generation; l.Whole {
+		p.hear(logic.Snapshot, l)
+	} else {
+		p.hear(logic.Diff, l)
+	}
+}
+
+func (p *pool) failed(w *watch) {
+	if w == p.watch || p.watch == nil && w == p.next {
+		p.hear(logic.Failed, discovery.List{})
+	}
+}
+
+// hear takes news of the list. The addresses are known before the module acts on it.
+func (p *pool) hear(kind logic.ListKind, l discovery.List) {
+	if kind == logic.Snapshot || kind == logic.Disk {
+		for id := range p.listed {
+			p.listed[id] = false
+		}
+	}
+	var members []logic.Member
+	for _, e := range l.Entries {
+		p.listed[e.ID] = e.Mode == logic.InService
+		p.fleet.Listed(e.ID, e.Addr)
+		members = append(members, e.Member)
+	}
+	p.router.Listed(kind, members)
+	maps.DeleteFunc(p.listed, func(id uint64, in bool) bool {
+		if !in {
+			p.fleet.Unlisted(id)
+		}
+		return !in
+	})
+	ready := len(p.listed)
+	if p.s.phase == Starting && ready > 0 {
+		p.s.front.Ready()
+		p.s.enter(Serving)
+	}
+	if len(l.Entries) > 0 {
+		p.log.Info().Uint64("generation", l.Generation).Int("changes", len(l.Entries)).Int("ready", ready).Msg("list")
+	}
+}
+
+// count logs what has happened since the start.
+func (p *pool) count(log zerolog.Logger, clients int) {
+	c := p.router.Counts
+	e := log.Info().Uint64("taken", c.Taken).Uint64("finished", c.Finished).Uint64("declined", c.Declined).
+		Uint64("terminated", c.Terminated).Uint64("left", c.Left).Uint64("executions", c.Executions).
+		Uint64("faults", c.Faults).Int("open", p.router.Open()).Int("clients", clients)
+	reasonsOf(e, c.Reasons[:]).Msg("counts")
+}
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -70,7 +70,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if s, err = assemble(conf, router.Logic, zerolog.Nop()); err != nil {
+	if s, err = assemble(Setup{Platform: conf}, router.Logic, zerolog.Nop()); err != nil {
 		t.Fatal(err)
 	}
 	ended = make(chan error, 1)
@@ -153,7 +153,10 @@
 	defer s.loop.Post(s.end)
 	path := filepath.Join(t.TempDir(), "config.json")
 	signals := make(chan os.Signal)
-	go s.obey(signals, func() (config.Config, error) { return config.Read(func(string) string { return path }) })
+	go s.obey(signals, func() (Setup, error) {
+		conf, err := config.Read(func(string) string { return path })
+		return Setup{Platform: conf}, err
+	})
 	defer close(signals)
 	answer := make(chan string, 1)
 	go func() { answer <- ask(addr, read) }()
@@ -169,7 +172,7 @@
 		for deadline := time.Now().Add(3 * time.Second); follows != c.follows && time.Now().Before(deadline); {
 			time.Sleep(50 * time.Millisecond)
 			done := make(chan string)
-			s.loop.Post(func() { done <- s.watch.addr })
+			s.loop.Post(func() { done <- s.platform.watch.addr })
 			follows = <-done
 		}
 		if follows != c.follows {
@@ -194,7 +197,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s, err := assemble(conf, router.Logic, zerolog.Nop())
+	s, err := assemble(Setup{Platform: conf}, router.Logic, zerolog.Nop())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -87,7 +87,7 @@
 	return r
 }
 
-// Offer takes the traffic types that operations may have from now on; what has arrived ends under the old ones.
+// Offer takes the traffic types that operations may have from now on; what has arrived ends under its own.
 func (r *Router) Offer(types []TrafficType) {
 	rows := map[string]*row{}
 	for _, t := range types {
@@ -103,7 +103,7 @@
 	clear(r.purses) // of realms that may be gone
 }
 
-// spend gives what further executions of a realm come from: one for all, or, where realms are apart, one each.
+// spend gives what further executions of a realm come from: one for all, or one each where realms are apart.
 func (r *Router) spend(realm string) *float64 {
 	if !r.set.Apart {
 		return &r.spare
