Play contracts in the lab: teams, pools, a control run and contracts changed under load

Change: scenarios have [[team]], [[pool]] and control; the lab writes the routers' operators' file, sets each team's share beside the same run without the fault, and can change a contract by SIGHUP while traffic flows.

--- a/cmd/trestlelab/main.go
+++ b/cmd/trestlelab/main.go
@@ -131,28 +131,43 @@
 		return faulty(err)
 	}
 	o.Router, o.Progress = program, progress()
-	var results []lab.Result
+	var results, control []lab.Result
 	for i := range max(1, c.Repeat) {
 		o.Seed = c.Seed + uint64(i)
-		rec, err := lab.Play(ctx, s, o)
-		if err != nil {
-			return err
+		played := []*lab.Scenario{s}
+		if s.WithControl() {
+			played = append(played, s.Without())
 		}
-		r := lab.NewResult(s, o, rec)
-		if results = append(results, r); r.Verdict == lab.RulesBroken {
-			logs = o.Dir
+		for n, s := range played {
+			rec, err := lab.Play(ctx, s, o)
+			if err != nil {
+				return err
+			}
+			r := lab.NewResult(s, o, rec)
+			if r.Verdict == lab.RulesBroken {
+				logs = o.Dir
+			}
+			if n == 0 {
+				results = append(results, r)
+			} else {
+				control = append(control, r)
+			}
+			if rec.Interrupted {
+				break
+			}
 		}
-		if rec.Interrupted {
+		if results[len(results)-1].Interrupted || ctx.Err() != nil {
 			break
 		}
 	}
 	if c.JSON != "" {
-		if err := lab.WriteJSON(c.JSON, results); err != nil {
+		if err := lab.WriteJSON(c.JSON, append(results, control...)); err != nil {
 			return err
 		}
 	}
 	lab.Print(os.Stdout, s, results, logs)
-	if status := statuses[lab.Overall(results)]; status != kept {
+	lab.PrintTenants(os.Stdout, results, control)
+	if status := statuses[lab.Overall(append(results, control...))]; status != kept {
 		return exit(status)
 	}
 	return nil
--- a/internal/lab/alone.go
+++ b/internal/lab/alone.go
@@ -74,7 +74,7 @@
 
 // RunFleet runs the stand-ins until ctx ends, and writes a configuration for a router of theirs.
 func RunFleet(ctx context.Context, s *Scenario, o Options, config string, out io.Writer) error {
-	w := &world{s: s, o: o, types: s.types()}
+	w := &world{s: s, o: o, types: s.types(), factors: map[string]float64{}}
 	if err := w.build(); err != nil {
 		w.abandon()
 		return err
@@ -96,13 +96,19 @@
 			return err
 		}
 		listen = append(listen, r.addr)
-		fmt.Fprintf(out, "router %d: list service at %s; start it with\n    GW_CONFIG=%s bin/bendtrestle\n", n, w.agents[n].Addr(), path)
+		if r.operators != "" {
+			if err := os.Rename(r.file("toml"), path+".operators.toml"); err != nil {
+				return err
+			}
+			path += " GW_OPERATORS=" + path + ".operators.toml"
+		}
+		fmt.Fprintf(out, "router %d: list service at %s; start it with\n    GW_CONFIG=%s bin/bendtrestle\n", n, w.agents[0][n].Addr(), path)
 	}
 	fmt.Fprintf(out, "%d cache servers from %s on\n", len(w.fleet.Servers()), w.fleet.Servers()[0].Addr)
 	fmt.Fprintf(out, "then load it with\n    bin/trestlelab load --to %s --seconds 10\nor by hand, for instance with telnet %s:\n    mg clinic-7 v Oa1 Pc=%s,d=480\n",
 		listen[0], listen[0], s.Types[0].Name)
 	<-ctx.Done()
-	on(w.fleetOn, w.fleet.Close)
+	on(w.fleetOn, w.abandon)
 	w.fleetOn.Post(w.fleetOn.Stop)
 	w.clientOn.Post(w.clientOn.Stop)
 	<-ended
--- a/internal/lab/cause.go
+++ b/internal/lab/cause.go
@@ -19,7 +19,7 @@
 	where := kinds[f.Kind].on
 	t, err := target{}, error(nil)
 	if where != "none" && where != "ledger" {
-		if t, err = w.s.target(where, f.Target); err != nil {
+		if t, err = w.s.target(where, f.Target, f.Pool); err != nil {
 			w.fail(err)
 			return
 		}
@@ -28,7 +28,9 @@
 	case "router":
 		w.causeAtRouters(f, w.many(t, chance, len(w.nodes)), halt)
 	case "list":
-		w.causeAtLists(f, w.many(t, chance, len(w.agents)), halt)
+		w.causeAtLists(f, w.many(t, chance, len(w.nodes)), halt)
+	case "team":
+		w.causeAtTeam(f, t.name, halt)
 	default:
 		switch f.Kind {
 		case "deploy", "shrink", "grow", "drain":
@@ -58,11 +60,11 @@
 }
 
 // servers gives the cache servers that a target hits, of those in service; one named by number is hit in any case.
-func (w *world) servers(t target, chance *rand.Rand) (hit []*standin.Server) {
+func (w *world) servers(fleet *standin.Fleet, t target, chance *rand.Rand) (hit []*standin.Server) {
 	if t.number >= 0 {
-		return []*standin.Server{w.fleet.Servers()[t.number]}
+		return []*standin.Server{fleet.Servers()[t.number]}
 	}
-	in := w.fleet.Serving()
+	in := fleet.Serving()
 	for _, i := range draw(chance, len(in), t.count) {
 		hit = append(hit, in[i])
 	}
@@ -81,7 +83,7 @@
 func (w *world) causeSimple(f Fault, t target, chance *rand.Rand, halt chan struct{}) {
 	var ends []func() error
 	plain := func(end func()) { ends = append(ends, func() error { end(); return nil }) }
-	about, length := "", f.For
+	about, length, fleet := "", f.For, w.fleets[w.at(f.Pool)]
 	begin := func() {
 		switch f.Kind {
 		case "hot-key":
@@ -96,11 +98,11 @@
 			plain(w.clients.Surge(kind, tenant, f.Factor))
 			about = fmt.Sprintf("%s %v times", f.Target, f.Factor)
 		case "ledger-stall":
-			plain(w.fleet.Ledger().Stall())
+			plain(fleet.Ledger().Stall())
 		case "ledger-slow":
-			plain(w.fleet.Ledger().Slow(f.Factor))
+			plain(fleet.Ledger().Slow(f.Factor))
 		default:
-			hit := w.servers(t, chance)
+			hit := w.servers(fleet, t, chance)
 			about = names(hit)
 			for _, s := range hit {
 				switch f.Kind {
@@ -160,9 +162,9 @@
 // causeChange plays what changes the fleet. Each server's turn comes at its own time within the fault's length.
 func (w *world) causeChange(f Fault, t target, chance *rand.Rand, halt chan struct{}) {
 	var hit []*standin.Server
-	turns := f.Count
+	turns, pool := f.Count, w.at(f.Pool)
 	if f.Kind != "grow" {
-		on(w.fleetOn, func() { hit = w.servers(t, chance) })
+		on(w.fleetOn, func() { hit = w.servers(w.fleets[pool], t, chance) })
 		turns = len(hit)
 	}
 	for i := range turns {
@@ -171,7 +173,7 @@
 		}
 		if f.Kind == "grow" || f.Kind == "deploy" {
 			on(w.fleetOn, func() {
-				s, err := w.fleet.Add(w.spec(), true)
+				s, err := w.fleets[pool].Add(w.spec(pool), true)
 				if w.fail(err); err == nil {
 					w.note("%s: %s comes, cold", f.Kind, s.Name)
 				}
@@ -201,8 +203,9 @@
 func (w *world) causeAtLists(f Fault, hit []int, halt chan struct{}) {
 	var ends []func() error
 	plain := func(end func()) { ends = append(ends, func() error { end(); return nil }) }
+	pool := w.at(f.Pool)
 	for _, n := range hit {
-		switch a := w.agents[n]; f.Kind {
+		switch a := w.agents[pool][n]; f.Kind {
 		case "list-late":
 			plain(a.Delay(f.Delay))
 		case "list-lag":
@@ -216,13 +219,18 @@
 		case "list-move":
 			w.mu.Lock()
 			w.moves++
-			addr := w.address(agentsAt, n, 8500+w.moves)
+			addr := w.address(agentsAt, n, 8500+1000*pool+w.moves)
 			w.mu.Unlock()
 			if err := a.Move(addr); err != nil {
 				w.fail(err)
 				return
 			}
-			w.fail(w.nodes[n].reload(func(conf map[string]any) { conf["discovery"] = addr }))
+			w.fail(w.nodes[n].reload(func() {
+				if pool == 0 {
+					w.nodes[n].conf["discovery"] = addr
+				}
+				w.nodes[n].operators = w.operators(n)
+			}))
 		}
 	}
 	w.note("%s of routers %v begins", f.Kind, hit)
@@ -236,6 +244,22 @@
 	w.note("%s of routers %v ends", f.Kind, hit)
 }
 
+// causeAtTeam changes a team's budget at all routers while its traffic flows, and back.
+func (w *world) causeAtTeam(f Fault, team string, halt chan struct{}) {
+	set := func(factor float64) {
+		w.mu.Lock()
+		w.factors[team] = factor
+		w.mu.Unlock()
+		for n, r := range w.nodes {
+			w.fail(r.reload(func() { r.operators = w.operators(n) }))
+		}
+		w.note("contract: team %s has %v times its budget", team, factor)
+	}
+	set(f.Factor)
+	w.until(f.At+f.For, halt)
+	set(1)
+}
+
 // causeAtRouters kills routers and starts them again after the fault's length, or restarts them as planned.
 func (w *world) causeAtRouters(f Fault, hit []int, halt chan struct{}) {
 	longest := 0.0
@@ -273,7 +297,7 @@
 func (w *world) again(n int) bool {
 	r := w.nodes[n]
 	r.mu.Lock()
-	r.conf["known"] = w.agents[n].Known()
+	r.conf["known"] = w.agents[0][n].Known()
 	r.mu.Unlock()
 	if err := r.start(); err != nil {
 		w.fail(err)
--- a/internal/lab/figures.go
+++ b/internal/lab/figures.go
@@ -11,32 +11,33 @@
 // Figures is a run in numbers. Shares are of the benefit that was asked for by operations due after the settling time;
 // times are milliseconds from when an operation was due.
 type Figures struct {
-	Operations   int                    `json:"operations"`
-	Whole        float64                `json:"benefit_in_time"`      // part of the benefit that came within the promised time
-	Worst        float64                `json:"worst_spell"`          // the same in the worst spell
-	Spell        float64                `json:"spell_s"`              // how long that is: 10 s, or a third of a shorter run
-	WorstType    float64                `json:"worst_type"`           // the same for the traffic type that fares worst
-	WorstName    string                 `json:"worst_type_name"`      //
-	Late         float64                `json:"finished_late"`        // parts of the operations
-	Declined     float64                `json:"declined"`             //
-	Terminated   float64                `json:"terminated"`           // by a router's answer
-	Unserved     float64                `json:"unserved"`             // no answer, no connection, or the client left
-	Tries        float64                `json:"tries_an_operation"`   //
-	Executions   float64                `json:"executions_an_op"`     //
-	Fetches      float64                `json:"fetches_an_operation"` // reads of the origin
-	P50          float64                `json:"p50_ms"`
-	P90          float64                `json:"p90_ms"`
-	P99          float64                `json:"p99_ms"`
-	P999         float64                `json:"p999_ms"`
-	DeclinedP99  float64                `json:"declined_p99_ms"` // from when the last try was sent until the answer
-	RouterCPU    float64                `json:"router_cpu_us"`   // processor time of all routers for each try
-	RouterMemory float64                `json:"router_memory_mb"`
-	LabLate      float64                `json:"lab_late_p99_ms"`
-	LabLateMost  float64                `json:"lab_late_most_ms"`
-	SendLate     float64                `json:"send_late_p99_ms"` // how much later than due operations began
-	Halts        int                    `json:"origin_halts"`
-	Types        map[string]TypeFigures `json:"types"`
-	Course       []Second               `json:"course"`
+	Operations   int                      `json:"operations"`
+	Whole        float64                  `json:"benefit_in_time"`      // part of the benefit that came within the promised time
+	Worst        float64                  `json:"worst_spell"`          // the same in the worst spell
+	Spell        float64                  `json:"spell_s"`              // how long that is: 10 s, or a third of a shorter run
+	WorstType    float64                  `json:"worst_type"`           // the same for the traffic type that fares worst
+	WorstName    string                   `json:"worst_type_name"`      //
+	Late         float64                  `json:"finished_late"`        // parts of the operations
+	Declined     float64                  `json:"declined"`             //
+	Terminated   float64                  `json:"terminated"`           // by a router's answer
+	Unserved     float64                  `json:"unserved"`             // no answer, no connection, or the client left
+	Tries        float64                  `json:"tries_an_operation"`   //
+	Executions   float64                  `json:"executions_an_op"`     //
+	Fetches      float64                  `json:"fetches_an_operation"` // reads of the origin
+	P50          float64                  `json:"p50_ms"`
+	P90          float64                  `json:"p90_ms"`
+	P99          float64                  `json:"p99_ms"`
+	P999         float64                  `json:"p999_ms"`
+	DeclinedP99  float64                  `json:"declined_p99_ms"` // from when the last try was sent until the answer
+	RouterCPU    float64                  `json:"router_cpu_us"`   // processor time of all routers for each try
+	RouterMemory float64                  `json:"router_memory_mb"`
+	LabLate      float64                  `json:"lab_late_p99_ms"`
+	LabLateMost  float64                  `json:"lab_late_most_ms"`
+	SendLate     float64                  `json:"send_late_p99_ms"` // how much later than due operations began
+	Halts        int                      `json:"origin_halts"`
+	Types        map[string]TypeFigures   `json:"types"`
+	Tenants      map[string]TenantFigures `json:"tenants,omitempty"`
+	Course       []Second                 `json:"course"`
 }
 
 // TypeFigures is one traffic type.
@@ -176,6 +177,7 @@
 	sends := standin.Lateness{Times: rec.Clients.Lateness}
 	f.SendLate = sends.Part(0.99) * 1e3
 	f.Halts = len(rec.Fleet.Halts)
+	f.Tenants = tenants(s, rec)
 	return f
 }
 
--- a/internal/lab/play.go
+++ b/internal/lab/play.go
@@ -46,13 +46,15 @@
 	s        *Scenario
 	o        Options
 	types    []*standin.TrafficType
-	fleet    *standin.Fleet
+	fleet    *standin.Fleet   // the usual pool's
+	fleets   []*standin.Fleet // all pools', the usual one first, then in the scenario's order
 	clients  *standin.Clients
 	fleetOn  *sock.Loop
 	clientOn *sock.Loop
-	agents   []*standin.Agent
+	agents   [][]*standin.Agent // by pool, then by router
 	nodes    []*node
-	chance   *rand.Rand // of the faults' targets
+	factors  map[string]float64 // of the teams' budgets, by faults
+	chance   *rand.Rand         // of the faults' targets
 	began    float64
 	moves    int
 
@@ -63,7 +65,7 @@
 
 // Play plays a scenario once. An error means that it could not be played; what routers did wrong is in the records.
 func Play(ctx context.Context, s *Scenario, o Options) (*Records, error) {
-	w := &world{s: s, o: o, types: s.types(), chance: rand.New(rand.NewPCG(o.Seed, 77))}
+	w := &world{s: s, o: o, types: s.types(), chance: rand.New(rand.NewPCG(o.Seed, 77)), factors: map[string]float64{}}
 	if err := w.build(); err != nil {
 		w.abandon()
 		return nil, err
@@ -86,10 +88,17 @@
 		return nil, w.failed
 	}
 	rec.Played = w.played
-	rec.Fleet, rec.Clients = w.fleet.Book(), w.clients.Book()
+	rec.Fleet, rec.Clients = &standin.Book{}, w.clients.Book()
+	for _, f := range w.fleets {
+		rec.Fleet.Join(f.Book())
+	}
 	rec.FleetLate, rec.ClientsLate = w.fleet.Late(), w.clients.Late()
-	for _, a := range w.agents {
-		rec.Told = append(rec.Told, a.Told())
+	for n := range w.nodes {
+		var told []standin.Told
+		for _, agents := range w.agents {
+			told = append(told, agents[n].Told()...)
+		}
+		rec.Told = append(rec.Told, told)
 	}
 	for _, n := range w.nodes {
 		rec.Lives = append(rec.Lives, n.history()...)
@@ -99,8 +108,8 @@
 
 // abandon lets go of what was built and never ran.
 func (w *world) abandon() {
-	if w.fleet != nil {
-		w.fleet.Close()
+	for _, f := range w.fleets {
+		f.Close()
 	}
 }
 
@@ -124,36 +133,49 @@
 		return err
 	}
 	s := w.s
-	w.fleet = standin.NewFleet(w.fleetOn, w.o.Seed, w.types, standin.LedgerSpec{AtOnce: s.Ledger.AtOnce,
-		Takes: s.Ledger.TakesMS / 1e3, Multiple: s.Ledger.Multiple, Time: s.Ledger.Within, Halt: s.Ledger.Halt},
-		standin.Delay{Base: s.List.Delay, Spread: s.List.Spread})
-	for range s.Fleet.Servers {
-		if _, err = w.fleet.Add(w.spec(), false); err != nil {
-			return fmt.Errorf("%w (another --net may be free)", err)
-		}
-	}
 	var keys []string
 	for n := int(s.Fleet.Filled*float64(s.Clients.Keys)) - 1; n >= 0; n-- { // the most popular last: it stays longest
 		keys = append(keys, standin.Key(n))
 	}
-	w.fleet.Fill(keys)
+	for i := range 1 + len(s.Pools) {
+		f := standin.NewFleet(w.fleetOn, w.o.Seed+uint64(i)<<32, w.types, standin.LedgerSpec{AtOnce: s.Ledger.AtOnce,
+			Takes: s.Ledger.TakesMS / 1e3, Multiple: s.Ledger.Multiple, Time: s.Ledger.Within, Halt: s.Ledger.Halt},
+			standin.Delay{Base: s.List.Delay, Spread: s.List.Spread})
+		w.fleets = append(w.fleets, f)
+		servers := s.Fleet.Servers
+		if i > 0 {
+			servers = s.Pools[i-1].Servers
+			f.Named(s.Pools[i-1].Name + "-")
+		}
+		for range servers {
+			if _, err = f.Add(w.spec(i), false); err != nil {
+				return fmt.Errorf("%w (another --net may be free)", err)
+			}
+		}
+		f.Fill(keys)
+		w.agents = append(w.agents, nil)
+	}
+	w.fleet = w.fleets[0]
 	var routers []string
 	for n := range s.Routers.Count {
 		addr := w.address(routersAt, n, 11211)
 		if err = free(addr); err != nil {
 			return err
 		}
-		a, err := w.fleet.List().Agent(w.address(agentsAt, n, 8500))
-		if err != nil {
-			return fmt.Errorf("%w (another --net may be free)", err)
+		for i, f := range w.fleets {
+			a, err := f.List().Agent(w.address(agentsAt, n, 8500+1000*i))
+			if err != nil {
+				return fmt.Errorf("%w (another --net may be free)", err)
+			}
+			w.agents[i] = append(w.agents[i], a)
 		}
-		w.agents = append(w.agents, a)
 		routers = append(routers, addr)
 		w.nodes = append(w.nodes, &node{n: n, addr: addr, program: w.o.Router, dir: w.o.Dir, memoryMB: s.Routers.MemoryMB,
 			sockets: s.Routers.Sockets, now: w.fleetOn.Now})
 	}
 	for n, r := range w.nodes {
-		r.conf = w.s.config(n, routers, w.agents[n], w.o.Seed, w.peers())
+		r.conf = w.s.config(n, routers, w.agents[0][n], w.o.Seed, w.peers())
+		r.operators = w.operators(n)
 	}
 	w.clients, err = standin.NewClients(w.clientOn, w.o.Seed, w.s.load(w.types), routers)
 	return err
@@ -168,6 +190,22 @@
 	return all
 }
 
+// operators gives a router's operators' file as it is to be now; empty without teams.
+func (w *world) operators(n int) string {
+	if len(w.s.Teams) == 0 {
+		return ""
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	lists := func(pool string) string { return w.agents[w.at(pool)][n].Addr() }
+	return w.s.operators(lists, w.factors)
+}
+
+// at gives the number of a pool among the fleets.
+func (w *world) at(pool string) int {
+	return 1 + slices.IndexFunc(w.s.Pools, func(p PoolPart) bool { return p.Name == pool })
+}
+
 // load gives the clients as the stand-ins take them.
 func (s *Scenario) load(types []*standin.TrafficType) standin.Load {
 	c := s.Clients
@@ -176,12 +214,13 @@
 		Most: c.Most, Skew: s.Routers.Skew}
 }
 
-// spec draws the next cache server.
-func (w *world) spec() standin.Spec {
-	f, n, name := w.s.Fleet, len(w.fleet.Servers()), w.fleet.NextName()
-	chance := w.fleet.Chance("spec/" + name)
+// spec draws the next cache server of a pool.
+func (w *world) spec(pool int) standin.Spec {
+	fleet := w.fleets[pool]
+	f, n, name := w.s.Fleet, len(fleet.Servers()), fleet.NextName()
+	chance := fleet.Chance("spec/" + name)
 	speed := f.Speed[0] + (f.Speed[1]-f.Speed[0])*chance.Float64()
-	return standin.Spec{Name: name, Addr: w.address(serversAt, n, 11300), Zone: fmt.Sprintf("zone-%d", n%f.Zones),
+	return standin.Spec{Name: name, Addr: w.address(serversAt+5*pool, n, 11300), Zone: fmt.Sprintf("zone-%d", n%f.Zones),
 		Machine: "stand-in", Cell: n / f.Zones / f.Cell, Cores: f.Cores, Speed: speed, Weight: float64(f.Cores), Queue: f.Queue,
 		PerConnection: f.PerConnection, Connections: f.Connections, Handshake: f.HandshakeMS / 1e3, Idle: f.Idle,
 		Keep: f.Keep, Cancels: f.Cancels, Cold: standin.Cold{From: f.ColdFrom, Warm: f.Warm, Multiple: w.s.Rules.Multiple,
@@ -316,7 +355,7 @@
 		}()
 	}
 	all.Wait()
-	on(w.fleetOn, w.fleet.Close)
+	on(w.fleetOn, w.abandon)
 	w.fleetOn.Post(w.fleetOn.Stop)
 	w.clientOn.Post(w.clientOn.Stop)
 }
--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -53,11 +53,12 @@
 	sockets  int
 	now      func() float64
 
-	mu    sync.Mutex
-	conf  map[string]any
-	cmd   *exec.Cmd
-	ended chan struct{}
-	lives []*Life
+	mu        sync.Mutex
+	conf      map[string]any
+	operators string // the text of its operators' file; empty: it has none
+	cmd       *exec.Cmd
+	ended     chan struct{}
+	lives     []*Life
 }
 
 func (r *node) file(name string) string {
@@ -70,10 +71,18 @@
 	if err != nil {
 		return err
 	}
-	if err = os.WriteFile(r.file("new"), text, 0o600); err != nil {
+	if err = replace(r.file("json"), text); err != nil || r.operators == "" {
 		return err
 	}
-	return os.Rename(r.file("new"), r.file("json"))
+	return replace(r.file("toml"), []byte(r.operators))
+}
+
+// replace writes a file whole or not at all.
+func replace(path string, text []byte) error {
+	if err := os.WriteFile(path+".new", text, 0o600); err != nil {
+		return err
+	}
+	return os.Rename(path+".new", path)
 }
 
 // start begins a process, with the descriptors that the scenario allows.
@@ -90,6 +99,9 @@
 	defer log.Close()
 	cmd := exec.Command(r.program.Args[0], r.program.Args[1:]...)
 	cmd.Env = append(os.Environ(), "GW_CONFIG="+r.file("json"))
+	if r.operators != "" {
+		cmd.Env = append(cmd.Env, "GW_OPERATORS="+r.file("toml"))
+	}
 	cmd.Stdout, cmd.Stderr = log, log
 	// A group of its own: an interrupt at the terminal is the lab's to pass on. It dies with the lab.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
@@ -193,10 +205,10 @@
 }
 
 // reload changes the configuration and tells the process.
-func (r *node) reload(change func(conf map[string]any)) error {
+func (r *node) reload(change func()) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	change(r.conf)
+	change()
 	if err := r.write(); err != nil {
 		return err
 	}
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -28,7 +28,11 @@
 	Clients ClientsPart `toml:"clients"`
 	Rules   RulesPart   `toml:"rules"`
 	Types   []TypePart  `toml:"type"`
+	Pools   []PoolPart  `toml:"pool"`
+	Teams   []TeamPart  `toml:"team"`
+	Broker  BrokerPart  `toml:"broker"`
 	Faults  []Fault     `toml:"fault"`
+	Control []string    `toml:"control"` // kinds of fault without which it is played as well, to compare
 	file    *tomlfile.File
 }
 
@@ -118,10 +122,35 @@
 	Tenant     string  `toml:"tenant"`
 }
 
+// BrokerPart says what the routers do with contracts.
+type BrokerPart struct {
+	Budgets string `toml:"budgets"` // load: as the product has them, and the default; none: nobody comes near one
+	Others  string `toml:"others"`
+}
+
+// PoolPart is a pool besides the usual one, with a fleet and an origin of its own, described as the usual one is.
+type PoolPart struct {
+	Name        string  `toml:"name"`
+	Servers     int     `toml:"servers"`
+	Capacity    float64 `toml:"capacity"`
+	Connections float64 `toml:"connections"`
+}
+
+// TeamPart is a contract. The team's traffic types are those that name it as their tenant.
+type TeamPart struct {
+	Name   string   `toml:"name"`
+	Pool   string   `toml:"pool"`
+	Budget float64  `toml:"budget"`
+	Burst  *float64 `toml:"burst"`
+	Borrow float64  `toml:"borrow"`
+	Weight float64  `toml:"weight"`
+}
+
 // Fault is something that happens.
 type Fault struct {
 	Kind   string  `toml:"kind"`
 	Target string  `toml:"target"`
+	Pool   string  `toml:"pool"` // whose servers, list or origin; "": the usual one's
 	At     float64 `toml:"at"`
 	For    float64 `toml:"for"`
 	Factor float64 `toml:"factor"` // of slow and surge
@@ -256,6 +285,7 @@
 			s.file.Fault(key("hard_stop_ms"), "%v is below the promised time, %v", t.HardStopMS, t.PromisedMS)
 		}
 	}
+	s.checkTeams()
 	for i, fault := range s.Faults {
 		s.checkFault(fmt.Sprintf("fault.%d", i), fault)
 	}
@@ -265,6 +295,49 @@
 	return s, nil
 }
 
+func (s *Scenario) checkTeams() {
+	if !slices.Contains([]string{"", "load", "none"}, s.Broker.Budgets) {
+		s.file.Fault("broker.budgets", "%q is not load or none", s.Broker.Budgets)
+	}
+	if !slices.Contains([]string{"", "platform", "nobody"}, s.Broker.Others) {
+		s.file.Fault("broker.others", "%q is not platform or nobody", s.Broker.Others)
+	}
+	parts := 0.0
+	for i, p := range s.Pools {
+		key := func(k string) string { return fmt.Sprintf("pool.%d.%s", i, k) }
+		if p.Name == "" || s.pool(p.Name) != &s.Pools[i] {
+			s.file.Fault(key("name"), "%q is empty or there twice", p.Name)
+		}
+		s.within(key("servers"), float64(p.Servers), 1, 190)
+		s.within(key("capacity"), p.Capacity, 0, 1e6)
+		s.within(key("connections"), p.Connections, 0.001, 0.9)
+		parts += p.Connections
+	}
+	if parts > 0.9 || len(s.Pools) > 20 {
+		s.file.Fault("pool", "%d pools with %v of the connections: at most 20 with 0.9", len(s.Pools), parts)
+	}
+	names := map[string]bool{}
+	for i, t := range s.Teams {
+		key := func(k string) string { return fmt.Sprintf("team.%d.%s", i, k) }
+		if names[t.Name] {
+			s.file.Fault(key("name"), "%q is there twice", t.Name)
+		}
+		names[t.Name] = true
+		if t.Pool != "" && s.pool(t.Pool) == nil {
+			s.file.Fault(key("pool"), "there is no pool %q", t.Pool)
+		}
+		if !slices.ContainsFunc(s.Types, func(k TypePart) bool { return k.Tenant == t.Name }) {
+			s.file.Fault(key("name"), "no traffic type has the tenant %q", t.Name)
+		}
+		s.within(key("budget"), t.Budget, 0, 1e6)
+	}
+	for _, k := range s.Control {
+		if _, known := kinds[k]; !known {
+			s.file.Fault("control", "%q is not a fault", k)
+		}
+	}
+}
+
 // A kind of fault: what it may hit, and which figures it needs.
 type kind struct {
 	on    string // server, router, list, type, ledger or none
@@ -272,6 +345,7 @@
 	least float64 // of that figure
 	most  float64
 	keeps bool // its length may be 0: it is over at once, or for good
+	zero  bool // its figure may be 0
 }
 
 var kinds = map[string]kind{
@@ -296,6 +370,7 @@
 	"list-refuse":    {on: "list"},
 	"list-old":       {on: "list", needs: "count", least: 1, most: 1000},
 	"list-move":      {on: "list", keeps: true},
+	"contract":       {on: "team", needs: "factor", least: 0, most: 1000, zero: true},
 	"hot-key":        {on: "none", needs: "part", least: 0, most: 1},
 	"surge":          {on: "type", needs: "factor", least: 0, most: 1000},
 	"router-kill":    {on: "router"},
@@ -323,13 +398,17 @@
 	}
 	figures := map[string]float64{"factor": f.Factor, "part": f.Part, "count": float64(f.Count), "delay": f.Delay}
 	for _, name := range []string{"factor", "part", "count", "delay"} {
-		if x := figures[name]; name == k.needs && !(x > 0 && x >= k.least && x <= k.most) {
+		if x := figures[name]; name == k.needs && !((x > 0 || k.zero) && x >= k.least && x <= k.most) {
 			s.file.Fault(key+"."+name, "%v is not above 0 and between %v and %v", x, k.least, k.most)
 		} else if name != k.needs && x != 0 {
 			s.file.Fault(key+"."+name, "%s has none", f.Kind)
 		}
 	}
-	if err := s.checkTarget(k.on, f.Target); err != nil {
+	if f.Pool != "" && (!slices.Contains([]string{"server", "list", "ledger"}, k.on) && f.Kind != "grow" || s.pool(f.Pool) == nil) {
+		s.file.Fault(key+".pool", "%q is not a pool, or this fault has none", f.Pool)
+		return
+	}
+	if err := s.checkTarget(k.on, f.Target, f.Pool); err != nil {
 		s.file.Fault(key+".target", "%v", err)
 	}
 }
@@ -342,19 +421,31 @@
 	name   string // of a type or tenant
 }
 
-func (s *Scenario) checkTarget(on, text string) error {
+func (s *Scenario) checkTarget(on, text, pool string) error {
 	if on == "none" || on == "ledger" {
 		if text != "" {
 			return fmt.Errorf("%q: this fault has none", text)
 		}
 		return nil
 	}
-	_, err := s.target(on, text)
+	_, err := s.target(on, text, pool)
 	return err
 }
 
-func (s *Scenario) target(on, text string) (target, error) {
-	most := map[string]int{"server": s.Fleet.Servers, "router": s.Routers.Count, "list": s.Routers.Count}[on]
+// pool gives a pool's part, nil if there is none.
+func (s *Scenario) pool(name string) *PoolPart {
+	if i := slices.IndexFunc(s.Pools, func(p PoolPart) bool { return p.Name == name }); i >= 0 {
+		return &s.Pools[i]
+	}
+	return nil
+}
+
+func (s *Scenario) target(on, text, pool string) (target, error) {
+	servers := s.Fleet.Servers
+	if p := s.pool(pool); p != nil {
+		servers = p.Servers
+	}
+	most := map[string]int{"server": servers, "router": s.Routers.Count, "list": s.Routers.Count}[on]
 	what, of, _ := strings.Cut(text, ":")
 	t := target{what: on, number: -1, count: most}
 	number := func(least, most int) (int, error) {
@@ -366,6 +457,11 @@
 	}
 	var err error
 	switch {
+	case on == "team":
+		t.name = of
+		if what != "team" || !slices.ContainsFunc(s.Teams, func(p TeamPart) bool { return p.Name == of }) {
+			err = fmt.Errorf("%q is not team:NAME of a team", text)
+		}
 	case on == "type" && text == "":
 	case on == "type" && (what == "type" || what == "tenant"):
 		t.what, t.name = what, of
--- /dev/null
+++ b/internal/lab/teams.go
@@ -0,0 +1,150 @@
+package lab
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"text/tabwriter"
+
+	"bendtrestle/internal/standin"
+)
+
+// operators writes the routers' operators' file for a scenario with teams: their contracts, each budget times a factor.
+func (s *Scenario) operators(lists func(pool string) string, factors map[string]float64) string {
+	var b strings.Builder
+	others := s.Broker.Others
+	if others == "" {
+		others = "platform"
+	}
+	fmt.Fprintf(&b, "[broker]\nothers = %q\n", others)
+	for _, p := range s.Pools {
+		fmt.Fprintf(&b, "\n[[pool]]\nname = %q\ndiscovery = %q\ncapacity = %v\nconnections = %v\n", p.Name, lists(p.Name), p.Capacity, p.Connections)
+	}
+	for _, t := range s.Teams {
+		factor, known := factors[t.Name]
+		if !known {
+			factor = 1
+		}
+		budget, burst := t.Budget*factor, t.Budget*factor
+		if t.Burst != nil {
+			burst = *t.Burst
+		}
+		if s.Broker.Budgets == "none" { // as good as none: nobody comes near it
+			budget, burst = 1e6, 1e6
+		}
+		fmt.Fprintf(&b, "\n[[team]]\nname = %q\npool = %q\ntenant = %q\nbudget = %v\nburst = %v\nborrow = %v\nweight = %v\n", t.Name, t.Pool,
+			t.Name, budget, burst, t.Borrow, t.Weight)
+		for _, k := range s.Types {
+			if k.Tenant == t.Name {
+				fmt.Fprintf(&b, "[[team.type]]\nname = %q\neffect = %q\ngroup = %q\nwindow = %v\npromised_ms = %v\nhard_stop_ms = %v\nbenefit = %v\n",
+					k.Name, k.Effect, k.Group, k.Window, k.PromisedMS, k.HardStopMS, k.Benefit)
+			}
+		}
+	}
+	return b.String()
+}
+
+// TenantFigures is one tenant's part of a run.
+type TenantFigures struct {
+	Operations  int     `json:"operations"`
+	Share       float64 `json:"benefit_in_time"`
+	Declined    float64 `json:"declined"`        // part of its operations, in the end
+	DeclinedP99 float64 `json:"declined_p99_ms"` // of all tries that were declined, from when they were sent
+	Load        float64 `json:"load"`            // seconds of executions at servers, a second, while faults were on
+	Budget      float64 `json:"budget,omitempty"`
+}
+
+// tenants reckons what each tenant got, its load being that of the time from the first fault's begin to the last's end.
+func tenants(s *Scenario, rec *Records) map[string]TenantFigures {
+	from, to := rec.From+s.Settle, rec.To
+	first, last := to, from
+	for _, f := range s.Faults {
+		first, last = min(first, rec.From+f.At), max(last, rec.From+f.At+f.For)
+	}
+	if first >= last {
+		first, last = from, to
+	}
+	asked, got, all := map[string]float64{}, map[string]float64{}, map[string]TenantFigures{}
+	late := map[string][]float64{}
+	for _, o := range rec.Clients.Ops {
+		name := o.Type.Tenant
+		if name == "" || o.Due < from || o.Due > to {
+			continue
+		}
+		f := all[name]
+		f.Operations++
+		asked[name] += o.Type.Benefit
+		if _, timely := o.Served(); timely {
+			got[name] += o.Type.Benefit
+		}
+		if o.How == standin.Declined {
+			f.Declined++
+		}
+		for _, t := range o.Tries {
+			if t.How == standin.Declined && t.Sent > 0 {
+				late[name] = append(late[name], t.Ended-t.Sent)
+			}
+		}
+		all[name] = f
+	}
+	for _, x := range rec.Fleet.Executions {
+		if f, there := all[x.Type.Tenant]; there && x.First >= first && x.First < last && x.End > x.First {
+			f.Load += (x.End - x.First) / (last - first)
+			all[x.Type.Tenant] = f
+		}
+	}
+	for name, f := range all {
+		f.Declined /= float64(f.Operations)
+		f.Share = share(got[name], asked[name])
+		times := standin.Lateness{Times: late[name]}
+		f.DeclinedP99 = times.Part(0.99) * 1e3
+		if i := slices.IndexFunc(s.Teams, func(t TeamPart) bool { return t.Name == name }); i >= 0 {
+			f.Budget = s.Teams[i].Budget
+		}
+		all[name] = f
+	}
+	return all
+}
+
+// WithControl tells whether a scenario is played without some of its faults as well.
+func (s *Scenario) WithControl() bool { return len(s.Control) > 0 }
+
+// Without gives the scenario that is played to compare with: it lacks the faults that the control names.
+func (s *Scenario) Without() *Scenario {
+	c := *s
+	c.Faults = slices.DeleteFunc(slices.Clone(s.Faults), func(f Fault) bool { return slices.Contains(s.Control, f.Kind) })
+	c.Control = nil
+	return &c
+}
+
+// PrintTenants sets what each tenant got beside what it got without the faults; results come in pairs of one seed.
+func PrintTenants(out io.Writer, with, control []Result) {
+	if len(with) == 0 || len(with[0].Figures.Tenants) == 0 {
+		return
+	}
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "team\tseed\toperations\tin time\twithout the fault\tdifference\tdeclined\tdeclines p99 ms\tload s/s\tbudget s/s\tpart of it\t")
+	for _, name := range slices.Sorted(maps.Keys(with[0].Figures.Tenants)) {
+		var sum float64
+		for i, r := range with {
+			f := r.Figures.Tenants[name]
+			before, difference, part := "-", "-", "-"
+			if i < len(control) {
+				x := control[i].Figures.Tenants[name].Share
+				before, difference = fmt.Sprintf("%.4f", x), fmt.Sprintf("%+.4f", f.Share-x)
+				sum += f.Share - x
+			}
+			if f.Budget > 0 {
+				part = fmt.Sprintf("%.3f", f.Load/f.Budget)
+			}
+			fmt.Fprintf(w, "%s\t%d\t%d\t%.4f\t%s\t%s\t%.4f\t%.1f\t%.3f\t%.3f\t%s\t\n", name, r.Seed, f.Operations, f.Share, before, difference,
+				f.Declined, f.DeclinedP99, f.Load, f.Budget, part)
+		}
+		if len(control) > 1 {
+			fmt.Fprintf(w, "%s\tall\t\t\t\t%+.4f\t\t\t\t\t\t\n", name, sum/float64(len(control)))
+		}
+	}
+	w.Flush()
+}
--- a/internal/router/desk.go
+++ b/internal/router/desk.go
@@ -15,4 +15,3 @@
 	Take(op *Operation, client Client) (core *Router, id uint64)
 	Hold(n int) // so many bytes more, or less, are held for its clients
 }
-
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -163,4 +163,4 @@
 }
 
 // NextName names the server that comes next.
-func (f *Fleet) NextName() string { return fmt.Sprintf("s-%03d", len(f.servers)) }
+func (f *Fleet) NextName() string { return fmt.Sprintf("%ss-%03d", f.named, len(f.servers)) }
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -21,7 +21,8 @@
 	memories       map[string]*memory
 	seed           uint64
 	serials        uint64
-	drainTurnsAway bool // a draining cache server turns new commands away
+	named          string // what its servers' names begin with
+	drainTurnsAway bool   // a draining cache server turns new commands away
 	late           Lateness
 }
 
@@ -43,6 +44,9 @@
 	return rand.New(rand.NewPCG(f.seed, uint64(crc32.ChecksumIEEE([]byte(name)))))
 }
 
+// Named makes its servers' names begin with something, so that those of several fleets differ.
+func (f *Fleet) Named(begin string) { f.named = begin }
+
 // Book is what was seen. It is read once the loop has ended, or on it.
 func (f *Fleet) Book() *Book { return f.book }
 
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -106,6 +106,16 @@
 	ColdPart float64
 }
 
+// Join adds what another book holds.
+func (b *Book) Join(o *Book) {
+	b.Executions = append(b.Executions, o.Executions...)
+	b.Fetches = append(b.Fetches, o.Fetches...)
+	b.Falls = append(b.Falls, o.Falls...)
+	b.Halts = append(b.Halts, o.Halts...)
+	b.Probes += o.Probes
+	b.Overflow = b.Overflow || o.Overflow
+}
+
 func (b *Book) open(x *Execution) {
 	if len(b.Executions) >= bookBound {
 		b.Overflow = true
