--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
-.PHONY: build test lint run toy
+.PHONY: build test lint fleet run scenario check compare
 
 build:
-	mkdir -p bin && go build -o bin/ ./cmd/... ./examples/...
+	mkdir -p bin && go build -o bin/ ./cmd/...
 
 test:
 	go test ./...
@@ -10,10 +10,24 @@
 	test -z "$$(gofmt -l .)"
 	go vet ./...
 
-# The router with the example configuration; have `make toy` running beside it.
+# Stand-in cache servers, an origin and a list service on loopback, and a configuration for a router of theirs.
+fleet: build
+	bin/trestlelab fleet --config bin/fleet.json
+
+# The router for them; have `make fleet` running beside it.
 run: build
-	GW_CONFIG=examples/config.json bin/bendtrestle
+	GW_CONFIG=bin/fleet.json bin/bendtrestle
+
+# What that configuration comes to.
+check: build
+	GW_CONFIG=bin/fleet.json bin/bendtrestle check --operators deploy/operators.toml
+
+# A scenario with faults, judged: make scenario S=deploy
+S = crash
+scenario: build
+	bin/trestlelab run examples/scenarios/$(S).toml
 
-# Three cache servers and a list service for it.
-toy: build
-	bin/toyserver
+# This tree beside another router: make compare S=stall B=least
+B = random
+compare: build
+	bin/trestlelab compare examples/scenarios/$(S).toml --a head --b $(B)
--- a/cmd/trestlelab/alone.go
+++ b/cmd/trestlelab/alone.go
@@ -12,7 +12,7 @@
 	Scenario string `arg:"" optional:"" type:"existingfile" help:"Whose fleet, list, routers' limits and traffic types; else a usual one."`
 	Seed     uint64 `help:"Of the machines' speeds and works." default:"1"`
 	Net      int    `help:"Second number of the loopback addresses, 127.NET.x.y." default:"77"`
-	Config   string `help:"Where to write the router's configuration." default:"bendtrestle.json" type:"path"`
+	Config   string `help:"Where to write the router's configuration." default:"bin/fleet.json" type:"path"`
 }
 
 func (c *fleetCommand) Run(ctx context.Context) error {
--- a/cmd/trestlelab/main.go
+++ b/cmd/trestlelab/main.go
@@ -15,6 +15,7 @@
 	"bendtrestle/internal/lab"
 	"bendtrestle/internal/lab/baseline"
 	"bendtrestle/internal/operators"
+	"bendtrestle/internal/router"
 	"bendtrestle/internal/service"
 
 	"github.com/alecthomas/kong"
@@ -247,19 +248,23 @@
 }
 
 type routerCommand struct {
-	Policy string `required:"" help:"The baseline."`
+	Policy string  `help:"The baseline; logic is the product's own." default:"logic"`
+	Flat   float64 `help:"What every operation counts of its team's budget, whatever it takes: a plain rate."`
 }
 
 // Run is the product's own router but for its decisions.
 func (c *routerCommand) Run() error {
-	module, err := baseline.Maker(c.Policy)
-	if err != nil {
-		return faulty(err)
+	module := router.Maker(router.Logic)
+	if c.Policy != "logic" {
+		var err error
+		if module, err = baseline.Maker(c.Policy); err != nil {
+			return faulty(err)
+		}
 	}
 	read := func() (service.Setup, error) {
 		theirs, err := operators.Read(os.Getenv("GW_OPERATORS"))
 		conf, other := config.Read(os.Getenv)
-		return service.Setup{Platform: conf, Operators: theirs}, errors.Join(err, other)
+		return service.Setup{Platform: conf, Operators: theirs, Flat: c.Flat}, errors.Join(err, other)
 	}
 	set, err := read()
 	if err != nil {
--- /dev/null
+++ b/internal/broker/helpers_test.go
@@ -0,0 +1,101 @@
+package broker
+
+import (
+	"testing"
+
+	"bendtrestle/internal/decide/contracts"
+	"bendtrestle/internal/router"
+	"bendtrestle/logic"
+
+	"github.com/rs/zerolog"
+)
+
+// outside is a loop and cache servers that a test drives: executions wait until it ends them.
+type outside struct {
+	now float64
+	out []router.Execution
+	ops []*router.Operation
+}
+
+func (o *outside) Now() float64                      { return o.now }
+func (o *outside) After(float64, func())             {}
+func (o *outside) Probe(uint64, func(logic.Outcome)) {}
+func (o *outside) CloseIdle(uint64)                  {}
+func (o *outside) Drop()                             {}
+func (o *outside) DropUnsent()                       {}
+func (o *outside) Execute(_ uint64, op *router.Operation, _ float64, x router.Execution) router.Pending {
+	o.out, o.ops = append(o.out, x), append(o.ops, op)
+	return o
+}
+
+// finish ends all that is out, after a time.
+func (o *outside) finish(after float64) {
+	o.now += after
+	out := o.out
+	o.out, o.ops = nil, nil
+	for _, x := range out {
+		x.Settled(logic.Finished, router.Result{})
+	}
+}
+
+// core is a pool's, with so many servers.
+func (o *outside) core(servers int, types ...logic.TrafficType) *router.Router {
+	r := router.New(logic.Settings{Cancelling: true, Apart: true, TrafficTypes: types}, router.Outside{Clock: o, Caches: o,
+		Tell: func([]byte) {}, Watch: func(bool) {}, Log: zerolog.Nop()}, router.Logic)
+	var all []logic.Member
+	for i := range servers {
+		all = append(all, logic.Member{ID: uint64(i + 1), Mode: logic.InService, Capacity: 1})
+	}
+	r.Listed(logic.Snapshot, all)
+	return r
+}
+
+// client counts its answers.
+type client struct {
+	finished, declined, terminated int
+	after                          float64
+}
+
+func (c *client) Finished(router.Result) { c.finished++ }
+func (c *client) Declined(after float64) { c.declined, c.after = c.declined+1, after }
+func (c *client) Terminated()            { c.terminated++ }
+
+var view = logic.TrafficType{Name: "view", Effect: logic.Reissuable, PromisedTime: 1, HardStop: 4, Benefit: 1}
+
+// serving is a broker with the platform's pool, of one server, and another of one, called "own".
+func serving(t *testing.T, limits Limits, all ...Terms) (*Broker, *outside, []Pool) {
+	t.Helper()
+	o := &outside{now: 1000}
+	platform := o.core(1, view)
+	b := New(o.Now, logic.Settings{Routers: 1, TrafficTypes: []logic.TrafficType{view}}, platform, limits)
+	pools := []Pool{{Core: platform, Connections: 100}, {Name: "own", Core: o.core(1), Connections: 10}}
+	b.Change(pools, all, ToPlatform)
+	return b, o, pools
+}
+
+func terms(team, pool string, budget float64) Terms {
+	return Terms{Contract: contracts.Contract{Team: team, Budget: budget, Burst: budget}, Pool: pool, Tenant: team,
+		Types: []logic.TrafficType{view}}
+}
+
+// ask takes an operation of a tenant, if there is a place for it.
+func (b *Broker) ask(tenant, key string) (*client, bool) {
+	c := &client{}
+	r := b.Route("", tenant, key)
+	if r == nil || !r.Room() {
+		return c, false
+	}
+	r.Take(&router.Operation{Kind: "view", Tenant: tenant, Key: key, Left: 3}, c)
+	return c, true
+}
+
+func (b *Broker) state(team string) State {
+	for _, s := range b.States() {
+		if s.Team == team {
+			return s
+		}
+	}
+	return State{}
+}
+
+var ample = Limits{Open: 1000, Held: 1 << 20, Connections: 100}
--- a/internal/decide/bulkhead/bulkhead.go
+++ b/internal/decide/bulkhead/bulkhead.go
@@ -77,7 +77,7 @@
 	if s != nil {
 		own = min(n, max(0, s.own-s.used))
 	}
-	return n-own <= p.total-p.used-p.reserved
+	return n == own || n-own <= p.total-p.used-p.reserved // its own are its own, also where others were forced in
 }
 
 // Take takes n places where there is room for them; false takes none.
--- a/internal/decide/contracts/contracts.go
+++ b/internal/decide/contracts/contracts.go
@@ -20,6 +20,7 @@
 	Burst  float64 // seconds of load that may come at once, over all routers
 	Borrow float64 // seconds of load a second, beyond the budget, of what others leave unused; 0: none
 	Weight float64 // its part of what is left unused, against others'; 0: as its budget
+	Flat   float64 // what every operation counts, whatever it takes: a plain rate, to compare with; 0: what it takes
 }
 
 // Reason tells how an operation was decided on.
@@ -262,6 +263,9 @@
 		return nil, Unknown, 0
 	}
 	c := t.cost(kind, guess)
+	if t.Flat > 0 {
+		c.mean = t.Flat
+	}
 	t.Demand.comes(p.clock, c.mean)
 	p.settle(t)
 	switch {
@@ -395,6 +399,9 @@
 	t := k.team
 	t.Totals.Open--
 	t.Totals.Took += took
+	if t.Flat > 0 {
+		took = t.Flat
+	}
 	k.cost.mean += (took - k.cost.mean) / learning
 	k.cost.mean = max(k.cost.mean, 1e-6)
 	if t.ended {
--- a/internal/lab/alone.go
+++ b/internal/lab/alone.go
@@ -21,6 +21,9 @@
 name = "usual"
 about = "Two traffic types on a small fleet without trouble."
 
+[routers]
+count = 1
+
 [[type]]
 name = "read"
 share = 0.8
@@ -57,7 +60,7 @@
 // Describe tells what a kind of fault hits and needs.
 func Describe(name string) string {
 	k := kinds[name]
-	on := map[string]string{"none": "no target", "ledger": "no target", "type": "type:NAME, tenant:NAME or all",
+	on := map[string]string{"team": "team:NAME", "none": "no target", "ledger": "no target", "type": "type:NAME, tenant:NAME or all",
 		"list": "lists, lists:COUNT or list:NUMBER (a router's)"}[k.on]
 	if on == "" {
 		on = fmt.Sprintf("%[1]s:NUMBER, %[1]ss:COUNT, %[1]ss:PART%%, %[1]ss", k.on)
--- a/internal/lab/build.go
+++ b/internal/lab/build.go
@@ -7,18 +7,26 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 
 	"bendtrestle/internal/lab/baseline"
 )
 
-// Resolve finds what a name means as a router: "head" (this working tree, built), a baseline, a program's path, or a
-// revision of this repository, which is built aside in dir.
+// Resolve finds what a name means as a router: "head" (this working tree, built), a baseline, "flat:SECONDS" (this
+// program, whose budgets count every operation alike), a program's path, or a revision of this repository, which is built aside in dir.
 func Resolve(ctx context.Context, name, dir string) (Program, error) {
 	if slices.Contains(baseline.Names(), name) {
 		self, err := os.Executable()
 		return Program{Name: name, Args: []string{self, "router", "--policy", name}}, err
 	}
+	if text, flat := strings.CutPrefix(name, "flat:"); flat {
+		if x, err := strconv.ParseFloat(text, 64); err != nil || !(x > 0) {
+			return Program{}, fmt.Errorf("%q: %q is not seconds above 0", name, text)
+		}
+		self, err := os.Executable()
+		return Program{Name: name, Args: []string{self, "router", "--flat", text}}, err
+	}
 	if name == "head" {
 		root, err := output(ctx, ".", "go", "list", "-m", "-f", "{{.Dir}}")
 		if err != nil {
--- a/internal/lab/cause.go
+++ b/internal/lab/cause.go
@@ -84,6 +84,10 @@
 	var ends []func() error
 	plain := func(end func()) { ends = append(ends, func() error { end(); return nil }) }
 	about, length, fleet := "", f.For, w.fleets[w.at(f.Pool)]
+	kind, tenant := t.name, ""
+	if t.what == "tenant" {
+		kind, tenant = "", t.name
+	}
 	begin := func() {
 		switch f.Kind {
 		case "hot-key":
@@ -91,12 +95,17 @@
 			plain(w.clients.Heat(key, f.Part))
 			about = fmt.Sprintf("%s for %v of the arrivals", key, f.Part)
 		case "surge":
-			kind, tenant := t.name, ""
-			if t.what == "tenant" {
-				kind, tenant = "", t.name
-			}
 			plain(w.clients.Surge(kind, tenant, f.Factor))
 			about = fmt.Sprintf("%s %v times", f.Target, f.Factor)
+		case "dear":
+			for _, t := range w.types {
+				if t.Name == kind || t.Tenant == tenant && tenant != "" || kind == "" && tenant == "" {
+					before := t.Work
+					t.Work *= f.Factor
+					plain(func() { t.Work = before })
+				}
+			}
+			about = fmt.Sprintf("%s work %v times", f.Target, f.Factor)
 		case "ledger-stall":
 			plain(fleet.Ledger().Stall())
 		case "ledger-slow":
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -372,6 +372,7 @@
 	"list-move":      {on: "list", keeps: true},
 	"contract":       {on: "team", needs: "factor", least: 0, most: 1000, zero: true},
 	"hot-key":        {on: "none", needs: "part", least: 0, most: 1},
+	"dear":           {on: "type", needs: "factor", least: 0, most: 1000},
 	"surge":          {on: "type", needs: "factor", least: 0, most: 1000},
 	"router-kill":    {on: "router"},
 	"router-restart": {on: "router", keeps: true},
--- a/internal/operators/operators_test.go
+++ b/internal/operators/operators_test.go
@@ -3,7 +3,10 @@
 import (
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
+
+	"bendtrestle/logic"
 )
 
 func file(t *testing.T, text string) string {
@@ -68,3 +71,66 @@
 		t.Error(err)
 	}
 }
+
+const pool = "[[pool]]\nname = \"p\"\ndiscovery = \"127.0.0.1:1\"\ncapacity = 3.0\nconnections = 0.2\n"
+
+func team(name, more string) string {
+	return "[[team]]\nname = \"" + name + "\"\npool = \"p\"\nbudget = 2.0\n" + more
+}
+
+const kind = "[[team.type]]\nname = \"t\"\neffect = \"reissuable\"\npromised_ms = 100\nhard_stop_ms = 500\nbenefit = 1\n"
+
+// Every fault of a contract names its line, its key and what would be right.
+func TestFaultsOfContracts(t *testing.T) {
+	by := "tenant = \"a\"\n"
+	for text, want := range map[string]string{
+		pool + team("a", by+kind+kind):                                 `traffic type "t" is there twice`,
+		pool + team("a", kind):                                         "team.0.tenant: missing, as are listen and prefix: nothing would ever match",
+		pool + team("a", by+kind) + team("b", by+kind):                 `"a" is team a's already: this route would never match`,
+		pool + team("a", by+kind) + team("b", "tenant = \"b\"\n"+kind): `with it the budgets of pool "p" come to 4, more than its capacity, 3`,
+		pool + team("a", by+kind) + team("a", "tenant = \"b\"\n"+kind): `"a" is there twice`,
+		team("a", by+kind):                                             `"p" is not the name of a pool`,
+		pool + team("a", by):                                           "a contract needs at least one [[team.type]]",
+		pool + team("a", "tenant = \"a b\"\n"+kind):                    `"a b" can never match: no client can name it`,
+		pool + team("a", "prefix = \"a b\"\n"+kind):                    `"a b" can never match: no key begins so`,
+		pool + team("a", "listen = \"here\"\n"+kind):                   `"here" is not an address and a port`,
+		pool + team("a", by+"weight = -1.0\n"+kind):                    "team.0.weight: -1 is below 0",
+		pool + team("a", by+"burst = -1.0\n"+kind):                     "team.0.burst: -1 is below 0",
+		pool + team("a", by+kind+"window = \"x\"\n"):                   "team.type.window: ",
+		pool + team("a", by+"[[team.type]]\nname = \"t\"\neffect = \"numbered\"\npromised_ms = 9\nhard_stop_ms = 5\nbenefit = 1\n"): "team.0.type.0.hard_stop_ms: 5 is before the promised time, 9",
+		pool + team("a", by+"[[team.type]]\nname = \"t\"\neffect = \"numbered\"\npromised_ms = 1\nhard_stop_ms = 5\nbenefit = 1\n"): "team.0.type.0.window: 0 is not above 0",
+		pool + team("a", by+"[[team.type]]\nname = \"t/u\"\neffect = \"any\"\ngroup = \"x\"\npromised_ms = 0\nbenefit = 0\n"):       `"any" is not one of reissuable, numbered, at-most-once`,
+		"[broker]\nothers = \"me\"\n": `broker.others: "me" is not one of platform, nobody`,
+		pool + pool:                   `pool.1.name: "p" is there twice`,
+		"[[pool]]\nname = \"p\"\ndiscovery = \"x\"\nconnections = 0.95\n": "0.95 is not above 0 and at most 0.9 of all",
+		pool + "warm = 0.0\n": "pool.0.warm: 0 is not above 0",
+	} {
+		_, err := Read(file(t, text))
+		if err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s\ngot %v\nwant %s", text, err, want)
+		}
+	}
+}
+
+// A contract is taken as it is written, with its defaults, and shown as a table.
+func TestContracts(t *testing.T) {
+	f, err := Read(file(t, pool+"most_executions = 2\nwarm = 7.0\n"+team("a", "tenant = \"a\"\nprefix = \"a:\"\nborrow = 0.5\n"+kind)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	terms := f.Terms()
+	if len(terms) != 1 || terms[0].Burst != 2 || terms[0].Borrow != 0.5 || terms[0].Types[0].HardStop != 0.5 || terms[0].Pool != "p" {
+		t.Errorf("the terms are %+v", terms)
+	}
+	set := f.Pools[0].Settings(logic.Settings{MostExecutions: 5, WarmWithin: 9, TipMultiple: 4, Peers: true,
+		TrafficTypes: []logic.TrafficType{{}}})
+	if set.MostExecutions != 2 || set.WarmWithin != 7 || set.TipMultiple != 4 || set.Peers || !set.Apart || len(set.TrafficTypes) > 0 {
+		t.Errorf("the pool's settings are %+v", set)
+	}
+	if p := f.Pools[0]; p.ConnectTimeout(0.5) != 0.5 || p.ConnIdle(60) != 60 || p.Streams(9) != 9 {
+		t.Error("what it does not say is not as the platform's")
+	}
+	if rows := f.Table(); len(rows) != 2 || rows[1][2] != "tenant a, prefix a:" || rows[1][7] != "reissuable" {
+		t.Errorf("the table is %v", rows)
+	}
+}
--- a/internal/service/contracts.go
+++ b/internal/service/contracts.go
@@ -9,7 +9,11 @@
 )
 
 // contract takes the operators' pools and contracts. What is open ends under the old ones.
-func (s *Service) contract(f operators.File) {
+func (s *Service) contract(set Setup) {
+	f, terms := set.Operators, set.Operators.Terms()
+	for i := range terms {
+		terms[i].Flat = set.Flat
+	}
 	if s.broker.Revision() == 0 && len(f.Teams) == 0 && len(f.Pools) == 0 {
 		return // as the platform has it
 	}
@@ -37,7 +41,7 @@
 		p.follow(f.Discovery)
 		all = append(all, broker.Pool{Name: f.Name, Core: p.router, Capacity: f.Capacity, Connections: connections})
 	}
-	lines := s.broker.Change(all, f.Terms(), f.Others())
+	lines := s.broker.Change(all, terms, f.Others())
 	for _, line := range lines {
 		s.log.Info().Int("revision", s.broker.Revision()).Str("change", line).Msg("contracts")
 	}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -69,6 +69,7 @@
 type Setup struct {
 	Platform  config.Config
 	Operators operators.File
+	Flat      float64 // of a laboratory: what every operation counts of a budget, whatever it takes
 }
 
 // Run serves until the router has ended; module starts its decisions, again reads the configuration anew.
@@ -116,7 +117,7 @@
 	s.conf.Discovery = conf.Discovery
 	s.log.Info().Str("discovery", conf.Discovery).Msg("configured anew")
 	s.platform.follow(conf.Discovery)
-	s.contract(set.Operators)
+	s.contract(set)
 }
 
 // assemble puts the parts together, from the caches to the clients.
@@ -148,7 +149,7 @@
 		return nil, err
 	}
 	s.platform.follow(c.Discovery)
-	s.contract(set.Operators)
+	s.contract(set)
 	s.loop.After(counting, s.count)
 	return s, nil
 }
