Part the front's connections from the protocol that they speak

Need: tiles come over HTTP, through the same places, bounds, ordered answers and leaving. Change: front.Codec; what is of the memcache text protocol alone stands in front/memcache.go. Measured: tests as before.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -1,15 +1,12 @@
-// Package front serves clients: it reads their commands, hands operations to the core and writes the answers
-// in the order of the commands.
+// Package front serves clients, whatever they speak: it holds their connections, hands operations to whoever takes them
+// and writes the answers in the order of the commands. What is read and written is a codec's, one for each protocol.
 package front
 
 import (
 	"cmp"
 	"hash/maphash"
-	"math"
-	"strconv"
-	"strings"
 
-	"bendtrestle/internal/meta"
+	"bendtrestle/internal/ring"
 	"bendtrestle/internal/router"
 	"bendtrestle/internal/sock"
 )
@@ -32,12 +29,26 @@
 	usualLeft = 1    // seconds that a client without a stated limit is taken to wait, if its type has none either
 )
 
+// Codec is the protocol of one connection. It calls its client with what it reads.
+type Codec interface {
+	Read(in *ring.Buffer) (whole bool, err error) // hands on the next command; after an error nothing more can be read
+	Begun() bool                                  // a command has begun and is not whole
+	Broken(err error) []byte                      // what is said where the stream cannot be followed any more
+	Unfinished() []byte                           // what is said to one who does not finish a command
+	Finished(op *router.Operation, with router.Result) [][]byte
+	Declined(op *router.Operation, after float64) []byte
+	Terminated(op *router.Operation) []byte
+}
+
+// Protocol makes the codec of a new connection.
+type Protocol func(c *Client) Codec
+
 // Front is all clients.
 type Front struct {
 	loop    *sock.Loop
 	desk    router.Desk
 	limits  Limits
-	clients map[*client]bool
+	clients map[*Client]bool
 	ready   bool // mn is answered MN
 	leaving bool // connections are closed as they become idle
 	salt    maphash.Seed
@@ -49,7 +60,7 @@
 
 // New makes a front without clients.
 func New(loop *sock.Loop, desk router.Desk, limits Limits) *Front {
-	f := &Front{loop: loop, desk: desk, limits: limits, clients: map[*client]bool{}, salt: maphash.MakeSeed()}
+	f := &Front{loop: loop, desk: desk, limits: limits, clients: map[*Client]bool{}, salt: maphash.MakeSeed()}
 	f.sweep()
 	return f
 }
@@ -64,9 +75,9 @@
 			if now-c.used > patience {
 				c.close()
 			}
-		case idle && c.reader.Begun() && now-c.began > begins:
+		case idle && c.codec.Begun() && now-c.began > begins:
 			c.ending = true
-			c.say("CLIENT_ERROR the command does not go on")
+			c.Say(c.codec.Unfinished())
 		case idle && !c.useful && now-c.came > begins, c.surplus && c.idle(),
 			now-c.used > kept && c.idle(),
 			now-c.used > settled && len(f.clients) > f.limits.Connections/2 && c.idle():
@@ -105,13 +116,14 @@
 // Room tells whether another connection may be accepted.
 func (f *Front) Room() bool { return len(f.clients) < f.limits.Connections+f.limits.Spare }
 
-// At gives what takes the connections of a listener, which has a name.
-func (f *Front) At(listener string) func(*sock.Conn) sock.Handler {
-	return func(conn *sock.Conn) sock.Handler { return f.accepted(conn, listener) }
+// At gives what takes the connections of a listener, which has a name and a protocol.
+func (f *Front) At(listener string, protocol Protocol) func(*sock.Conn) sock.Handler {
+	return func(conn *sock.Conn) sock.Handler { return f.accepted(conn, listener, protocol) }
 }
 
-func (f *Front) accepted(conn *sock.Conn, listener string) sock.Handler {
-	c := &client{f: f, conn: conn, listener: listener, used: f.loop.Now(), came: f.loop.Now()}
+func (f *Front) accepted(conn *sock.Conn, listener string, protocol Protocol) sock.Handler {
+	c := &Client{f: f, conn: conn, listener: listener, used: f.loop.Now(), came: f.loop.Now()}
+	c.codec = protocol(c)
 	// From half of the places on one makes room for another: clients may hold only so many themselves.
 	if n := len(f.clients); n >= f.limits.Connections/2 && !f.evict() && n >= f.limits.Connections {
 		c.surplus = true
@@ -127,7 +139,7 @@
 // is about to be written to. Those that never sent what can be used go first: they take no usual client's place.
 // With a longer while, clients that ask once and stay hold all places, and who waits to be accepted runs out of time.
 func (f *Front) evict() bool {
-	var oldest *client
+	var oldest *Client
 	for c := range f.clients {
 		quiet, before := f.loop.Now()-c.used, oldest == nil || c.used < oldest.used
 		if oldest != nil && c.useful != oldest.useful {
@@ -143,11 +155,11 @@
 	return oldest != nil
 }
 
-// client is one connection.
-type client struct {
+// Client is one connection.
+type Client struct {
 	f        *Front
 	conn     *sock.Conn
-	reader   meta.CommandReader
+	codec    Codec
 	answers  []*answer // owed, in the order of the commands
 	rest     []piece   // of answers that are not in the connection's buffer yet
 	listener string
@@ -176,7 +188,7 @@
 
 // answer is what is owed for one command.
 type answer struct {
-	c         *client
+	c         *Client
 	core      *router.Router // which has the operation; nil: none was made
 	operation uint64
 	route     router.Route
@@ -186,17 +198,17 @@
 }
 
 // Opened is for dialled connections.
-func (c *client) Opened() {}
+func (c *Client) Opened() {}
 
 // Input reads commands while not too many answers are owed.
-func (c *client) Input() {
+func (c *Client) Input() {
 	c.used = c.f.loop.Now()
-	fresh := !c.reader.Begun()
+	fresh := !c.codec.Begun()
 	for c.conn.In.Len() > 0 && !c.full() && !c.ending {
-		whole, err := c.reader.Read(c.conn.In, c)
+		whole, err := c.codec.Read(c.conn.In)
 		if fresh = fresh || whole; err != nil {
 			c.ending = true
-			c.say("CLIENT_ERROR " + err.Error())
+			c.Say(c.codec.Broken(err))
 		}
 	}
 	if fresh {
@@ -207,111 +219,72 @@
 	}
 }
 
-func (c *client) full() bool { return len(c.answers) >= unread || len(c.rest) > 0 }
-
-// Get takes a read.
-func (c *client) Get(key, id, flags, figures string) {
-	c.take(router.Operation{Key: key, ID: id, Flags: flags, Figures: figures})
-}
-
-// Set takes a write.
-func (c *client) Set(key, id, flags, figures string, value []byte) {
-	c.take(router.Operation{Key: key, ID: id, Flags: flags, Figures: figures, Write: true, Value: value})
-}
+func (c *Client) full() bool { return len(c.answers) >= unread || len(c.rest) > 0 }
 
-// Noop tells whether the router serves.
-func (c *client) Noop() {
+// Serves tells whether the router serves by now, and that its client asked as a usual one does.
+func (c *Client) Serves() bool {
 	c.useful = true
-	if c.f.ready {
-		c.say("MN")
-	} else {
-		c.say("SERVER_ERROR starting")
-	}
+	return c.f.ready
 }
 
-// Bad takes a command that cannot be used. One who goes on sending such is not listened to for ever.
-func (c *client) Bad(text string) {
+// Bad answers a command that cannot be used. One who goes on sending such is not listened to for ever.
+func (c *Client) Bad(text []byte) {
 	c.faults++
 	c.ending = c.ending || c.faults >= faults
-	c.say(text)
+	c.Say(text)
 }
 
-// say answers a command from here.
-func (c *client) say(text string) {
+// Last tells that nothing more is to be read: the connection ends once all is answered.
+func (c *Client) Last() { c.ending = true }
+
+// Say answers a command from here.
+func (c *Client) Say(text []byte) {
 	a := &answer{c: c}
 	c.answers = append(c.answers, a)
-	a.give([]byte(text + "\r\n"))
+	a.give(text)
 }
 
-func (c *client) take(op router.Operation) {
+// Route tells who takes an operation of this client.
+func (c *Client) Route(tenant, key string) router.Route {
+	return c.f.desk.Route(c.listener, tenant, key)
+}
+
+// Take hands an operation on, or declines it where there is no place. Its client waits as long as it says, but no longer
+// than the most that its traffic type allows; 0 is not said. False: its id was another's lately, and nothing was done.
+func (c *Client) Take(route router.Route, op *router.Operation, most float64) bool {
 	f := c.f
-	op.Kind, _ = meta.Figure(op.Figures, "c")
-	op.Tenant, _ = meta.Figure(op.Figures, "tenant")
-	route, most, known := f.desk.Route(c.listener, op.Tenant, op.Key), 0.0, false
-	if route != nil {
-		most, known = route.HardStop(op.Kind)
+	if op.Left == 0 {
+		op.Left = cmp.Or(most, usualLeft)
 	}
-	left, fault := stated(op.Figures)
-	switch {
-	case route == nil:
-		fault = "CLIENT_ERROR no contract holds for this traffic"
-	case !known: // no cache server could use it either
-		fault = "CLIENT_ERROR the type c is unknown"
-	case fault == "" && left == 0:
-		left = cmp.Or(most, usualLeft)
-	}
-	if fault != "" {
-		c.Bad(fault)
-		return
-	}
-	if op.Left = left; most > 0 {
-		op.Left = min(left, most)
+	if most > 0 {
+		op.Left = min(op.Left, most)
 	}
 	full := c.surplus || !route.Room()
-	if !full && f.repeated(op.ID, op.Left) {
-		c.Bad("CLIENT_ERROR the id O is another operation's")
-		return
+	if !full && op.ID != "" && f.repeated(op.ID, op.Left) {
+		return false
 	}
 	c.useful = true
-	a := &answer{c: c, op: &op, route: route}
+	a := &answer{c: c, op: op, route: route}
 	c.answers = append(c.answers, a)
 	if full {
-		c.ending = c.surplus
-		a.give(meta.AppendBusy(nil, 0))
-		return
+		c.ending = c.ending || c.surplus
+		a.give(c.codec.Declined(op, 0))
+		return true
 	}
-	a.held = len(op.Value) // it may be answered before Taken returns
+	a.held = len(op.Value) // it may be answered before Take returns
 	hold(route, a.held)
-	a.core, a.operation = route.Take(a.op, a)
+	a.core, a.operation = route.Take(op, a)
+	return true
 }
 
-// stated reads how long a client will wait, in seconds; 0 if it does not say.
-func stated(figures string) (left float64, fault string) {
-	text, there := meta.Figure(figures, "d")
-	if !there {
-		return 0, ""
-	}
-	ms, err := strconv.ParseFloat(text, 64)
-	if err != nil || strings.Trim(text, "0123456789.") != "" || !(ms > 0) {
-		return 0, "CLIENT_ERROR d is not a number above 0"
-	}
-	return ms / 1e3, ""
-}
-
-// Finished passes on what a cache server made.
-func (a *answer) Finished(with router.Result) {
-	if a.op.Write {
-		a.give(meta.AppendStored(nil, a.op.ID, with.Receipt))
-	} else {
-		a.give(meta.AppendValue(nil, a.op.ID, len(with.Value)), with.Value, []byte("\r\n"))
-	}
-}
+// Finished passes on what a server made.
+func (a *answer) Finished(with router.Result) { a.give(a.c.codec.Finished(a.op, with)...) }
 
 // Declined tells that trying again is harmless.
-func (a *answer) Declined(after float64) { a.give(meta.AppendBusy(nil, int(math.Ceil(after*1e3)))) }
+func (a *answer) Declined(after float64) { a.give(a.c.codec.Declined(a.op, after)) }
 
 // Terminated promises nothing.
-func (a *answer) Terminated() { a.give([]byte("SERVER_ERROR failed\r\n")) }
+func (a *answer) Terminated() { a.give(a.c.codec.Terminated(a.op)) }
 
 // give takes an answer's text and writes what is due.
 func (a *answer) give(parts ...[]byte) {
@@ -336,14 +309,14 @@
 }
 
 // drop forgets an answer's text.
-func (c *client) drop(a *answer) {
+func (c *Client) drop(a *answer) {
 	for _, p := range a.parts {
 		hold(a.route, -len(p))
 	}
 }
 
 // Flushed fills the connection's buffer with what waits, and reads on if that was held up.
-func (c *client) Flushed() {
+func (c *Client) Flushed() {
 	for len(c.rest) > 0 {
 		p := &c.rest[0]
 		n := c.conn.Write(p.text)
@@ -366,34 +339,34 @@
 	}
 }
 
-func (c *client) goOn() {
+func (c *Client) goOn() {
 	if c.f.clients[c] && c.conn.In.Len() > 0 {
 		c.Input()
 	}
 }
 
 // mute tells that nothing is owed and only a part of a command has come, or nothing.
-func (c *client) mute() bool { return !c.useful && len(c.answers) == 0 && len(c.rest) == 0 }
+func (c *Client) mute() bool { return !c.useful && len(c.answers) == 0 && len(c.rest) == 0 }
 
 // idle tells that nothing is owed and nothing has begun.
-func (c *client) idle() bool {
+func (c *Client) idle() bool {
 	return len(c.answers) == 0 && len(c.rest) == 0 && c.conn.Unsent() == 0 &&
-		(c.ending || !c.reader.Begun() && c.conn.Quiet())
+		(c.ending || !c.codec.Begun() && c.conn.Quiet())
 }
 
-func (c *client) closeIfIdle() {
+func (c *Client) closeIfIdle() {
 	if c.f.clients[c] && c.idle() && (c.ending || c.f.leaving) {
 		c.close()
 	}
 }
 
-func (c *client) close() {
+func (c *Client) close() {
 	c.conn.Close()
 	c.Closed()
 }
 
 // Closed takes a client's departure.
-func (c *client) Closed() {
+func (c *Client) Closed() {
 	f := c.f
 	if !f.clients[c] {
 		return
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -90,7 +90,7 @@
 		r.Listed(logic.Snapshot, []logic.Member{{ID: 1, Mode: logic.InService, Capacity: 1}})
 		s.desk.core = r
 		s.Front = New(l, s.desk, limits.Limits)
-		_, err := l.Listen(s.addr, s.Room, s.At(""))
+		_, err := l.Listen(s.addr, s.Room, s.At("", Memcache))
 		done <- err
 	})
 	if err := <-done; err != nil {
@@ -408,7 +408,7 @@
 		s.do(func() {
 			there = 0
 			for c := range s.clients {
-				if c.reader.Begun() || len(c.answers) > 0 || c.conn.In.Len() == 0 {
+				if c.codec.Begun() || len(c.answers) > 0 || c.conn.In.Len() == 0 {
 					there++
 				}
 			}
--- /dev/null
+++ b/internal/front/memcache.go
@@ -0,0 +1,96 @@
+package front
+
+import (
+	"math"
+	"strconv"
+	"strings"
+
+	"bendtrestle/internal/meta"
+	"bendtrestle/internal/ring"
+	"bendtrestle/internal/router"
+)
+
+// Memcache is the platform's protocol: the meta commands of the memcache text protocol.
+func Memcache(c *Client) Codec { return &memcache{c: c} }
+
+type memcache struct {
+	c      *Client
+	reader meta.CommandReader
+}
+
+func (m *memcache) Read(in *ring.Buffer) (bool, error) { return m.reader.Read(in, m) }
+func (m *memcache) Begun() bool                        { return m.reader.Begun() }
+func (m *memcache) Broken(err error) []byte            { return []byte("CLIENT_ERROR " + err.Error() + "\r\n") }
+func (m *memcache) Unfinished() []byte                 { return []byte("CLIENT_ERROR the command does not go on\r\n") }
+
+// Get takes a read.
+func (m *memcache) Get(key, id, flags, figures string) {
+	m.take(&router.Operation{Key: key, ID: id, Flags: flags, Figures: figures})
+}
+
+// Set takes a write.
+func (m *memcache) Set(key, id, flags, figures string, value []byte) {
+	m.take(&router.Operation{Key: key, ID: id, Flags: flags, Figures: figures, Write: true, Value: value})
+}
+
+// Noop tells whether the router serves.
+func (m *memcache) Noop() {
+	if m.c.Serves() {
+		m.c.Say([]byte("MN\r\n"))
+	} else {
+		m.c.Say([]byte("SERVER_ERROR starting\r\n"))
+	}
+}
+
+// Bad takes a command that cannot be used.
+func (m *memcache) Bad(text string) { m.c.Bad([]byte(text + "\r\n")) }
+
+func (m *memcache) take(op *router.Operation) {
+	op.Kind, _ = meta.Figure(op.Figures, "c")
+	op.Tenant, _ = meta.Figure(op.Figures, "tenant")
+	route, most, known := m.c.Route(op.Tenant, op.Key), 0.0, false
+	if route != nil {
+		most, known = route.HardStop(op.Kind)
+	}
+	left, fault := stated(op.Figures)
+	switch {
+	case route == nil:
+		fault = "CLIENT_ERROR no contract holds for this traffic"
+	case !known: // no cache server could use it either
+		fault = "CLIENT_ERROR the type c is unknown"
+	}
+	if op.Left = left; fault != "" {
+		m.Bad(fault)
+	} else if !m.c.Take(route, op, most) {
+		m.Bad("CLIENT_ERROR the id O is another operation's")
+	}
+}
+
+// stated reads how long a client will wait, in seconds; 0 if it does not say.
+func stated(figures string) (left float64, fault string) {
+	text, there := meta.Figure(figures, "d")
+	if !there {
+		return 0, ""
+	}
+	ms, err := strconv.ParseFloat(text, 64)
+	if err != nil || strings.Trim(text, "0123456789.") != "" || !(ms > 0) {
+		return 0, "CLIENT_ERROR d is not a number above 0"
+	}
+	return ms / 1e3, ""
+}
+
+// Finished passes on a value or a receipt.
+func (m *memcache) Finished(op *router.Operation, with router.Result) [][]byte {
+	if op.Write {
+		return [][]byte{meta.AppendStored(nil, op.ID, with.Receipt)}
+	}
+	return [][]byte{meta.AppendValue(nil, op.ID, len(with.Value)), with.Value, []byte("\r\n")}
+}
+
+// Declined tells when to come back.
+func (m *memcache) Declined(_ *router.Operation, after float64) []byte {
+	return meta.AppendBusy(nil, int(math.Ceil(after*1e3)))
+}
+
+// Terminated promises nothing.
+func (m *memcache) Terminated(*router.Operation) []byte { return []byte("SERVER_ERROR failed\r\n") }
--- a/internal/service/contracts.go
+++ b/internal/service/contracts.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"bendtrestle/internal/broker"
+	"bendtrestle/internal/front"
 	"bendtrestle/internal/operators"
 )
 
@@ -93,7 +94,7 @@
 		if s.listeners[addr] != nil || s.phase >= Finishing {
 			continue
 		}
-		l, err := s.loop.Listen(addr, s.front.Room, s.front.At(addr))
+		l, err := s.loop.Listen(addr, s.front.Room, s.front.At(addr, front.Memcache))
 		if err != nil {
 			s.log.Error().Err(err).Str("listen", addr).Msg("a team's listener cannot be opened")
 			continue
