Part the connections to servers from the protocol that they speak

Need: tile servers speak HTTP; connections, limits, piping and outcomes are the same. Change: caches.Wire and caches.Link; what is of the memcache text protocol alone stands in caches/memcache.go.

--- a/internal/caches/caches.go
+++ b/internal/caches/caches.go
@@ -1,5 +1,5 @@
-// Package caches makes executions at cache servers: it keeps the connections to each, writes commands there
-// and tells how each execution ended.
+// Package caches makes executions at servers: it keeps the connections to each, writes commands there and tells how each
+// execution ended. What is written and read is a wire's, one for each protocol.
 package caches
 
 import (
@@ -27,6 +27,7 @@
 	loop    *sock.Loop
 	limits  Limits
 	log     zerolog.Logger
+	wire    func(Link) Wire
 	servers map[uint64]*server
 	links   int // of all servers
 	closed  bool
@@ -45,8 +46,8 @@
 }
 
 // New makes an empty fleet.
-func New(loop *sock.Loop, limits Limits, log zerolog.Logger) *Fleet {
-	f := &Fleet{loop: loop, limits: limits, log: log, servers: map[uint64]*server{}}
+func New(loop *sock.Loop, limits Limits, wire func(Link) Wire, log zerolog.Logger) *Fleet {
+	f := &Fleet{loop: loop, limits: limits, wire: wire, log: log, servers: map[uint64]*server{}}
 	f.sweep()
 	return f
 }
@@ -197,6 +198,7 @@
 	for s.coming < len(s.waiting) && len(s.links) < max(1, f.limits.Connections/max(1, len(f.servers))) &&
 		f.links < f.limits.Connections {
 		l := &link{on: s}
+		l.wire = f.wire(l)
 		conn, err := f.loop.Dial(s.addr, l)
 		if err != nil {
 			f.log.Warn().Err(err).Stringer("server", s.addr).Msg("no connection")
--- a/internal/caches/caches_test.go
+++ b/internal/caches/caches_test.go
@@ -73,7 +73,7 @@
 	go l.Run()
 	t.Cleanup(func() { l.Post(l.Stop); ln.Close() })
 	f.do(l, func() {
-		f.Fleet = New(l, limits, zerolog.Nop())
+		f.Fleet = New(l, limits, Memcache, zerolog.Nop())
 		f.Listed(1, netip.MustParseAddrPort(ln.Addr().String()))
 	})
 	return f
--- a/internal/caches/link.go
+++ b/internal/caches/link.go
@@ -1,11 +1,8 @@
 package caches
 
 import (
-	"math"
 	"slices"
-	"strconv"
 
-	"bendtrestle/internal/meta"
 	"bendtrestle/internal/router"
 	"bendtrestle/internal/sock"
 	"bendtrestle/logic"
@@ -75,7 +72,7 @@
 	conn   *sock.Conn
 	timer  *sock.Timer // until it is up, then until a reply that has begun must have gone on
 	up     bool
-	reader meta.ReplyReader
+	wire   Wire
 	queue  []*attempt // out, in the order of their answers
 	rest   [][]byte   // not in the connection's buffer yet
 	length uint64     // of all that it was sent
@@ -90,18 +87,8 @@
 	}
 	a.link = l
 	l.queue = append(l.queue, a)
-	if a.op == nil {
-		l.write([]byte("mn\r\n"))
-	} else {
-		ms := math.Ceil(max(1e-3, a.until-s.f.loop.Now()) * 1e3)
-		figures := meta.WithFigure(a.op.Figures, "d", strconv.Itoa(int(ms)))
-		if a.op.Write {
-			l.write(meta.AppendSet(nil, a.op.Key, a.op.Flags, figures, len(a.op.Value)))
-			l.write(a.op.Value)
-			l.write([]byte("\r\n"))
-		} else {
-			l.write(meta.AppendGet(nil, a.op.Key, a.op.Flags, figures))
-		}
+	for _, p := range l.wire.Command(a.op, a.until-s.f.loop.Now()) {
+		l.write(p)
 	}
 	a.end = l.length
 }
@@ -147,6 +134,7 @@
 		s.leave(a)
 		a.settle(logic.NoConnection, router.Result{})
 	}
+	l.wire.Closed() // it may end an answer as it should
 	l.broken()
 }
 
@@ -186,15 +174,15 @@
 // Input reads replies.
 func (l *link) Input() {
 	for l.conn.In.Len() > 0 {
-		if _, err := l.reader.Read(l.conn.In, l); err != nil {
-			l.stray(err.Error())
+		if _, err := l.wire.Read(l.conn.In); err != nil {
+			l.Stray(err.Error())
 			return
 		}
 		if !slices.Contains(l.on.links, l) {
 			return // a reply ended it
 		}
 	}
-	if l.reader.Begun() {
+	if l.wire.Begun() {
 		l.timer.Set(l.on.f.loop.Now() + l.on.f.limits.Stall)
 	} else {
 		l.timer.Stop()
@@ -207,19 +195,19 @@
 	if l.conn.Unread() {
 		l.timer.Set(l.on.f.loop.Now() + l.on.f.limits.Stall)
 	} else {
-		l.stray("a part")
+		l.Stray("a part")
 	}
 }
 
-// stray takes what no cache server should have sent: the connection cannot be relied on any more.
-func (l *link) stray(what string) {
+// Stray takes what no server should have sent: the connection cannot be relied on any more.
+func (l *link) Stray(what string) {
 	l.on.f.log.Warn().Stringer("server", l.on.addr).Str("reply", what).Msg("a reply out of order")
 	l.broken()
 }
 
-// answered settles the attempt whose turn it is. One that is not written yet, or a reply with none out, leaves
+// Answered settles the attempt whose turn it is. One that is not written yet, or a reply with none out, leaves
 // the connection in no known state.
-func (l *link) answered(how logic.Outcome, with router.Result) {
+func (l *link) Answered(how logic.Outcome, with router.Result, more bool) {
 	if len(l.queue) == 0 {
 		l.broken()
 		return
@@ -229,53 +217,17 @@
 	whole := a.written()
 	a.settle(how, with)
 	switch {
-	case !whole:
+	case !whole || !more:
 		l.broken()
 	case len(l.queue) == 0:
 		l.on.free(l)
 	}
 }
 
-// waits gives the operation whose reply is due.
-func (l *link) waits() *router.Operation {
-	if len(l.queue) == 0 || l.queue[0].op == nil {
-		return &router.Operation{}
-	}
-	return l.queue[0].op
-}
-
-// Value takes a read's answer.
-func (l *link) Value(id string, value []byte) {
-	if op := l.waits(); id == "" || op.ID != id || op.Write {
-		l.stray("VA " + id)
-		return
-	}
-	l.answered(logic.Finished, router.Result{Value: value})
-}
-
-// Stored takes a write's answer.
-func (l *link) Stored(id, receipt string) {
-	if op := l.waits(); id == "" || op.ID != id || !op.Write {
-		l.stray("HD " + id)
-		return
-	}
-	l.answered(logic.Finished, router.Result{Receipt: receipt})
-}
-
-// Busy takes that it was turned away.
-func (l *link) Busy(int) { l.answered(logic.TurnedAway, router.Result{}) }
-
-// Failed takes an error.
-func (l *link) Failed() { l.answered(logic.Error, router.Result{}) }
-
-// Ready takes a probe's answer.
-func (l *link) Ready() {
-	if len(l.queue) == 0 || l.queue[0].op != nil {
-		l.stray("MN")
-		return
+// Due gives the operation whose reply is due, nil for a probe; false if none is.
+func (l *link) Due() (op *router.Operation, due bool) {
+	if len(l.queue) == 0 {
+		return nil, false
 	}
-	l.answered(logic.Finished, router.Result{})
+	return l.queue[0].op, true
 }
-
-// Other takes a line that the protocol does not name. What may follow it would be taken for another's answer.
-func (l *link) Other(line string) { l.stray(line) }
--- a/internal/service/contracts.go
+++ b/internal/service/contracts.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"bendtrestle/internal/broker"
+	"bendtrestle/internal/caches"
 	"bendtrestle/internal/front"
 	"bendtrestle/internal/operators"
 )
@@ -35,7 +36,7 @@
 		p := s.pools[f.Name]
 		if p == nil {
 			p = s.newPool(f.Name, f.Settings(c.Settings), connections, f.ConnectTimeout(c.ConnectTimeout), f.ConnIdle(c.ConnIdle),
-				f.Streams(c.PerConnection))
+				f.Streams(c.PerConnection), caches.Memcache)
 			s.pools[f.Name] = p
 		}
 		p.fleet.Limit(connections)
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -12,6 +12,7 @@
 	"syscall"
 
 	"bendtrestle/internal/broker"
+	"bendtrestle/internal/caches"
 	"bendtrestle/internal/config"
 	"bendtrestle/internal/front"
 	"bendtrestle/internal/operators"
@@ -140,7 +141,7 @@
 	}
 	c.Settings.Ordered = false // answers come in the order of a connection, but each execution has one of its own
 	c.Settings.Apart = len(set.Operators.Teams) > 0
-	s.platform = s.newPool("", c.Settings, c.Caches, c.ConnectTimeout, c.ConnIdle, c.PerConnection)
+	s.platform = s.newPool("", c.Settings, c.Caches, c.ConnectTimeout, c.ConnIdle, c.PerConnection, caches.Memcache)
 	s.broker = broker.New(s.loop.Now, c.Settings, s.platform.router, broker.Limits{Open: c.Open, Held: c.Held, Connections: c.Clients})
 	s.front = front.New(s.loop, s.broker, front.Limits{Connections: c.Clients, Spare: c.Spare})
 	s.platform.hear(logic.Disk, c.Known)
