--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -63,6 +63,8 @@
 type Result struct {
 	Value   []byte
 	Receipt string
+	Status  int    // where the protocol has one
+	Head    string // what is passed on beside the value, as the protocol writes it
 }
 
 // Client takes the one final answer to an operation.
