--- a/internal/lab/play.go
+++ b/internal/lab/play.go
@@ -146,6 +146,9 @@
 		if i > 0 {
 			servers = s.Pools[i-1].Servers
 			f.Named(s.Pools[i-1].Name + "-")
+			if s.Pools[i-1].Scheme != "" {
+				f.ServeTiles(Layers(), w.tileType(s.Pools[i-1].Name))
+			}
 		}
 		for range servers {
 			if _, err = f.Add(w.spec(i), false); err != nil {
@@ -177,7 +180,13 @@
 		r.conf = w.s.config(n, routers, w.agents[0][n], w.o.Seed, w.peers())
 		r.operators = w.operators(n)
 	}
-	w.clients, err = standin.NewClients(w.clientOn, w.o.Seed, w.s.load(w.types), routers)
+	fronts := map[string][]string{} // where tiles are taken, by team
+	for _, t := range s.Teams {
+		for n := 0; s.hasTiles(t.Name) && n < s.Routers.Count; n++ {
+			fronts[t.Name] = append(fronts[t.Name], w.tileFront(n, t.Name))
+		}
+	}
+	w.clients, err = standin.NewClients(w.clientOn, w.o.Seed, w.s.load(w.types), routers, fronts)
 	return err
 }
 
@@ -198,7 +207,14 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	lists := func(pool string) string { return w.agents[w.at(pool)][n].Addr() }
-	return w.s.operators(lists, w.factors)
+	tileFront := func(team string) string { return w.tileFront(n, team) }
+	return w.s.operators(lists, tileFront, w.factors)
+}
+
+// tileFront is where a router takes a team's map tiles.
+func (w *world) tileFront(n int, team string) string {
+	i := slices.IndexFunc(w.s.Teams, func(t TeamPart) bool { return t.Name == team })
+	return w.address(routersAt, n, 8080+i)
 }
 
 // at gives the number of a pool among the fleets.
@@ -214,6 +230,19 @@
 		Most: c.Most, Skew: s.Routers.Skew}
 }
 
+// tileType is the traffic type of a pool's tiles.
+func (w *world) tileType(pool string) *standin.TrafficType {
+	for _, t := range w.types {
+		if t.Scheme == "" {
+			continue
+		}
+		if i := slices.IndexFunc(w.s.Teams, func(x TeamPart) bool { return x.Name == t.Tenant }); w.s.Teams[i].Pool == pool {
+			return t
+		}
+	}
+	return nil
+}
+
 // spec draws the next cache server of a pool.
 func (w *world) spec(pool int) standin.Spec {
 	fleet := w.fleets[pool]
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -11,6 +11,7 @@
 	"strings"
 
 	"bendtrestle/internal/standin"
+	"bendtrestle/internal/tiles"
 	"bendtrestle/internal/tomlfile"
 	"bendtrestle/logic"
 )
@@ -120,6 +121,7 @@
 	HardStopMS float64 `toml:"hard_stop_ms"`
 	Benefit    float64 `toml:"benefit"`
 	Tenant     string  `toml:"tenant"`
+	Scheme     string  `toml:"scheme"` // xyz, wmts-kvp, wmts-rest: it is map tiles, of a team with a pool of tile servers
 }
 
 // BrokerPart says what the routers do with contracts.
@@ -134,6 +136,7 @@
 	Servers     int     `toml:"servers"`
 	Capacity    float64 `toml:"capacity"`
 	Connections float64 `toml:"connections"`
+	Scheme      string  `toml:"scheme"` // its servers are tile servers, asked so
 }
 
 // TeamPart is a contract. The team's traffic types are those that name it as their tenant.
@@ -281,6 +284,12 @@
 		s.above(key("promised_ms"), t.PromisedMS, 0)
 		s.above(key("benefit"), t.Benefit, 0)
 		s.within(key("size"), float64(t.Size), 0, 60000)
+		if t.Scheme != "" && !slices.Contains(tiles.Schemes, tiles.Scheme(t.Scheme)) {
+			s.file.Fault(key("scheme"), "%q is not xyz, wmts-kvp or wmts-rest", t.Scheme)
+		}
+		if t.Scheme != "" && (t.Write || t.Effect != "reissuable") {
+			s.file.Fault(key("scheme"), "map tiles are read, and reissuable")
+		}
 		if t.HardStopMS < t.PromisedMS {
 			s.file.Fault(key("hard_stop_ms"), "%v is below the promised time, %v", t.HardStopMS, t.PromisedMS)
 		}
@@ -330,6 +339,17 @@
 			s.file.Fault(key("name"), "no traffic type has the tenant %q", t.Name)
 		}
 		s.within(key("budget"), t.Budget, 0, 1e6)
+		p := s.pool(t.Pool)
+		for _, k := range s.Types {
+			if k.Tenant == t.Name && (k.Scheme != "") != (p != nil && p.Scheme != "") {
+				s.file.Fault(key("pool"), "traffic type %q is of map tiles and the pool is not, or the other way round", k.Name)
+			}
+		}
+	}
+	for i, k := range s.Types {
+		if k.Scheme != "" && !slices.ContainsFunc(s.Teams, func(t TeamPart) bool { return t.Name == k.Tenant }) {
+			s.file.Fault(fmt.Sprintf("type.%d.tenant", i), "map tiles need a team")
+		}
 	}
 	for _, k := range s.Control {
 		if _, known := kinds[k]; !known {
@@ -494,7 +514,7 @@
 	for _, t := range s.Types {
 		all = append(all, &standin.TrafficType{Name: t.Name, Share: t.Share, Write: t.Write, Effect: effects[t.Effect],
 			Group: groups[t.Group], Window: t.Window, Work: t.WorkMS / 1e3, Spread: t.Spread, Size: t.Size,
-			Promised: t.PromisedMS / 1e3, HardStop: t.HardStopMS / 1e3, Benefit: t.Benefit, Tenant: t.Tenant})
+			Promised: t.PromisedMS / 1e3, HardStop: t.HardStopMS / 1e3, Benefit: t.Benefit, Tenant: t.Tenant, Scheme: tiles.Scheme(t.Scheme)})
 	}
 	return all
 }
--- a/internal/operators/contracts.go
+++ b/internal/operators/contracts.go
@@ -4,10 +4,12 @@
 	"cmp"
 	"fmt"
 	"net/netip"
+	"slices"
 	"strings"
 
 	"bendtrestle/internal/broker"
 	"bendtrestle/internal/decide/contracts"
+	"bendtrestle/internal/tiles"
 	"bendtrestle/logic"
 )
 
@@ -32,6 +34,13 @@
 	Warm             *float64 `toml:"warm"`
 	Fall             *float64 `toml:"fall"`
 	Multiple         *float64 `toml:"multiple"`
+
+	Protocol  string   `toml:"protocol"`   // memcache, and the default; or tiles
+	Scheme    string   `toml:"scheme"`     // how tile servers are asked: xyz, wmts-kvp, wmts-rest
+	Host      string   `toml:"host"`       // that requests to tile servers name
+	Probe     string   `toml:"probe"`      // a path at which a tile server tells that it is there
+	LargestKB int      `toml:"largest_kb"` // of a tile
+	StallMS   *float64 `toml:"stall_ms"`   // a reply that has begun and gets no further byte for so long will not go on
 }
 
 // Team is a contract.
@@ -46,6 +55,7 @@
 	Borrow float64  `toml:"borrow"`
 	Weight float64  `toml:"weight"`
 	Types  []Type   `toml:"type"`
+	Tiles  *Tiles   `toml:"tiles"`
 }
 
 // Type is a traffic type of a team.
@@ -75,6 +85,7 @@
 	if f.Broker.Others != "platform" && f.Broker.Others != "nobody" {
 		f.from.Fault("broker.others", "%q is not one of platform, nobody", f.Broker.Others)
 	}
+	tilePools := map[string]bool{}
 	capacity, connections, budgets := map[string]float64{"": 0}, 0.0, map[string]float64{}
 	for i, p := range f.Pools {
 		key := func(k string) string { return fmt.Sprintf("pool.%d.%s", i, k) }
@@ -85,11 +96,27 @@
 		capacity[p.Name] = p.Capacity
 		f.address(key("discovery"), p.Discovery)
 		f.notBelow(key("capacity"), p.Capacity, 0)
+		if !slices.Contains([]string{"", "memcache", "tiles"}, p.Protocol) {
+			f.from.Fault(key("protocol"), "%q is not one of memcache, tiles", p.Protocol)
+		}
+		if p.Scheme != "" && !slices.Contains(tiles.Schemes, tiles.Scheme(p.Scheme)) {
+			f.from.Fault(key("scheme"), "%q is not one of xyz, wmts-kvp, wmts-rest", p.Scheme)
+		}
+		if p.Probe != "" && (p.Probe[0] != '/' || strings.ContainsAny(p.Probe, " \r\n")) {
+			f.from.Fault(key("probe"), "%q is not a path", p.Probe)
+		}
+		if strings.ContainsAny(p.Host, " /\r\n") {
+			f.from.Fault(key("host"), "%q is not a host", p.Host)
+		}
+		if p.LargestKB < 0 || p.LargestKB > 16<<10 {
+			f.from.Fault(key("largest_kb"), "%d is not between 0 and %d", p.LargestKB, 16<<10)
+		}
+		tilePools[p.Name] = p.Protocol == "tiles"
 		if !(p.Connections > 0 && p.Connections <= 0.9) {
 			f.from.Fault(key("connections"), "%v is not above 0 and at most 0.9 of all", p.Connections)
 		}
 		connections += p.Connections
-		for name, x := range map[string]*float64{"connect_timeout_ms": p.ConnectTimeoutMS, "idle": p.Idle, "warm": p.Warm, "fall": p.Fall,
+		for name, x := range map[string]*float64{"connect_timeout_ms": p.ConnectTimeoutMS, "stall_ms": p.StallMS, "idle": p.Idle, "warm": p.Warm, "fall": p.Fall,
 			"multiple": p.Multiple, "cold_from": p.ColdFrom} {
 			if x != nil && !(*x > 0) {
 				f.from.Fault(key(name), "%v is not above 0", *x)
@@ -125,6 +152,10 @@
 		if _, there := capacity[t.Pool]; !there {
 			f.from.Fault(key("pool"), "%q is not the name of a pool", t.Pool)
 		}
+		if tilePools[t.Pool] != (t.Tiles != nil) {
+			f.from.Fault(key("pool"), "a team with tiles needs a pool whose protocol is tiles, and the other way round")
+		}
+		f.checkTiles(fmt.Sprintf("team.%d", i), t)
 		if t.Listen == "" && t.Tenant == "" && t.Prefix == "" {
 			f.from.Fault(key("tenant"), "missing, as are listen and prefix: nothing would ever match")
 		}
@@ -265,8 +296,23 @@
 	return usual
 }
 
+// Stall is how long a reply that has begun may stand still; usual is what suits the platform's protocol. Tiles are larger
+// and may be made as they are sent.
+func (p Pool) Stall(usual float64) float64 {
+	if p.StallMS != nil {
+		return *p.StallMS / 1e3
+	}
+	if p.Protocol == "tiles" {
+		return 1
+	}
+	return usual
+}
+
 // Streams is how many executions a connection to its servers carries at once.
 func (p Pool) Streams(usual int) int {
+	if p.Protocol == "tiles" {
+		return 1 // a tile behind another would wait for it
+	}
 	take(&usual, p.PerConnection)
 	return usual
 }
--- a/internal/service/contracts.go
+++ b/internal/service/contracts.go
@@ -1,13 +1,17 @@
 package service
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 
 	"bendtrestle/internal/broker"
 	"bendtrestle/internal/caches"
+	"bendtrestle/internal/caches/tilewire"
 	"bendtrestle/internal/front"
+	"bendtrestle/internal/front/tilefront"
 	"bendtrestle/internal/operators"
+	"bendtrestle/internal/tiles"
 )
 
 // contract takes the operators' pools and contracts. What is open ends under the old ones.
@@ -35,8 +39,9 @@
 		connections := share(c.Caches, f.Connections)
 		p := s.pools[f.Name]
 		if p == nil {
-			p = s.newPool(f.Name, f.Settings(c.Settings), connections, f.ConnectTimeout(c.ConnectTimeout), f.ConnIdle(c.ConnIdle),
-				f.Streams(c.PerConnection), caches.Memcache)
+			connect := f.ConnectTimeout(c.ConnectTimeout)
+			p = s.newPool(f.Name, f.Settings(c.Settings), connections, connect, f.Stall(stall(connect)), f.ConnIdle(c.ConnIdle),
+				f.Streams(c.PerConnection), s.wire(f))
 			s.pools[f.Name] = p
 		}
 		p.fleet.Limit(connections)
@@ -58,6 +63,21 @@
 	s.listen(f)
 }
 
+const (
+	largestTile = 1024 // kilobytes; ten times a large one
+	probePath   = "/"
+)
+
+// wire gives what a pool's servers speak.
+func (s *Service) wire(p operators.Pool) func(caches.Link) caches.Wire {
+	if p.Protocol != "tiles" {
+		return caches.Memcache
+	}
+	servers := &tilewire.Servers{Scheme: tiles.Scheme(cmp.Or(p.Scheme, string(tiles.XYZ))), Host: cmp.Or(p.Host, p.Name),
+		Probe: cmp.Or(p.Probe, probePath), Largest: cmp.Or(p.LargestKB, largestTile) << 10, Most: s.conf.Held}
+	return servers.Wire
+}
+
 // share is a part of the connections to servers, one at the least.
 func share(all int, part float64) int { return max(1, int(float64(all)*part)) }
 
@@ -85,19 +105,34 @@
 			wanted[t.Listen] = true
 		}
 	}
+	speak := map[string]operators.TileFront{}
+	for _, t := range f.TileFronts() {
+		speak[t.Listen] = t
+	}
 	for addr, l := range s.listeners {
-		if !wanted[addr] {
+		t, http := speak[addr]
+		if server := s.tiles[addr]; http && server != nil { // what is open goes on
+			server.Change(t.Service, t.Kind, t.WaitHeader)
+		}
+		if !wanted[addr] || http != (s.tiles[addr] != nil) {
 			l.Close()
 			delete(s.listeners, addr)
+			delete(s.tiles, addr)
 		}
 	}
 	for addr := range wanted {
 		if s.listeners[addr] != nil || s.phase >= Finishing {
 			continue
 		}
-		l, err := s.loop.Listen(addr, s.front.Room, s.front.At(addr, front.Memcache))
+		protocol := front.Memcache
+		if t, http := speak[addr]; http {
+			s.tiles[addr] = tilefront.New(t.Service, t.Kind, t.WaitHeader)
+			protocol = s.tiles[addr].Protocol
+		}
+		l, err := s.loop.Listen(addr, s.front.Room, s.front.At(addr, protocol))
 		if err != nil {
 			s.log.Error().Err(err).Str("listen", addr).Msg("a team's listener cannot be opened")
+			delete(s.tiles, addr)
 			continue
 		}
 		s.listeners[addr] = l
--- a/internal/service/pool.go
+++ b/internal/service/pool.go
@@ -34,15 +34,13 @@
 }
 
 // newPool makes one without servers.
-func (s *Service) newPool(name string, set logic.Settings, connections int, connect, idle float64, streams int, wire func(caches.Link) caches.Wire) *pool {
+func (s *Service) newPool(name string, set logic.Settings, connections int, connect, stall, idle float64, streams int, wire func(caches.Link) caches.Wire) *pool {
 	p := &pool{s: s, name: name, onDemand: set.OnRequest, listed: map[uint64]bool{}, log: s.log}
 	if name != "" {
 		p.log = s.log.With().Str("pool", name).Logger()
 	}
-	// A reply is sent in one go: its parts lie closer than the round trips of a new connection, for which the
-	// connect timeout leaves room.
 	p.fleet = caches.New(s.loop, caches.Limits{Connections: connections, PerConnection: streams, ConnectTimeout: connect,
-		Stall: connect / 3, Idle: idle}, wire, p.log)
+		Stall: stall, Idle: idle}, wire, p.log)
 	watch := func(on bool) {} // the list is watched in any case
 	p.router = router.New(set, router.Outside{Clock: s.loop, Caches: p.fleet, Tell: s.peers.Tell, Watch: watch, Log: p.log}, s.module)
 	return p
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -15,6 +15,7 @@
 	"bendtrestle/internal/caches"
 	"bendtrestle/internal/config"
 	"bendtrestle/internal/front"
+	"bendtrestle/internal/front/tilefront"
 	"bendtrestle/internal/operators"
 	"bendtrestle/internal/peers"
 	"bendtrestle/internal/router"
@@ -55,7 +56,8 @@
 	log       zerolog.Logger
 	loop      *sock.Loop
 	listener  *sock.Listener
-	listeners map[string]*sock.Listener // of teams, by their addresses
+	listeners map[string]*sock.Listener    // of teams, by their addresses
+	tiles     map[string]*tilefront.Server // of these, those that speak HTTP
 	front     *front.Front
 	broker    *broker.Broker
 	platform  *pool
@@ -129,7 +131,7 @@
 	}
 	conf := set.Platform
 	s, c := &Service{conf: conf, log: log, loop: loop, module: module, pools: map[string]*pool{},
-		listeners: map[string]*sock.Listener{}, seen: map[string]uint64{}}, &conf
+		listeners: map[string]*sock.Listener{}, tiles: map[string]*tilefront.Server{}, seen: map[string]uint64{}}, &conf
 	s.log.Info().Str("name", c.Name).Str("listen", c.Listen).Int("clients", c.Clients).Int("caches", c.Caches).
 		Int("open", c.Open).Msg("starting")
 	if (c.Settings.Peers || len(set.Operators.Teams) > 0) && c.PeerListen != "" {
@@ -141,7 +143,7 @@
 	}
 	c.Settings.Ordered = false // answers come in the order of a connection, but each execution has one of its own
 	c.Settings.Apart = len(set.Operators.Teams) > 0
-	s.platform = s.newPool("", c.Settings, c.Caches, c.ConnectTimeout, c.ConnIdle, c.PerConnection, caches.Memcache)
+	s.platform = s.newPool("", c.Settings, c.Caches, c.ConnectTimeout, stall(c.ConnectTimeout), c.ConnIdle, c.PerConnection, caches.Memcache)
 	s.broker = broker.New(s.loop.Now, c.Settings, s.platform.router, broker.Limits{Open: c.Open, Held: c.Held, Connections: c.Clients})
 	s.front = front.New(s.loop, s.broker, front.Limits{Connections: c.Clients, Spare: c.Spare})
 	s.platform.hear(logic.Disk, c.Known)
@@ -155,6 +157,10 @@
 	return s, nil
 }
 
+// stall is how long a reply of the platform's protocol may stand still: it is sent in one go, and its parts lie closer than
+// the round trips of a new connection, for which the connect timeout leaves room.
+func stall(connectTimeout float64) float64 { return connectTimeout / 3 }
+
 // heard takes a peer's words: about contracts, or the module's.
 func (s *Service) heard(words []byte) {
 	if !s.broker.Heard(words) && s.conf.Settings.Peers {
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -7,6 +7,7 @@
 	"sort"
 
 	"bendtrestle/internal/sock"
+	"bendtrestle/internal/tiles"
 	"bendtrestle/logic"
 )
 
@@ -21,8 +22,11 @@
 	memories       map[string]*memory
 	seed           uint64
 	serials        uint64
-	named          string // what its servers' names begin with
-	drainTurnsAway bool   // a draining cache server turns new commands away
+	named          string         // what its servers' names begin with
+	tiles          *tiles.Service // they speak HTTP, and serve these layers
+	tileType       *TrafficType   // of their tiles
+	pictures       map[string][]byte
+	drainTurnsAway bool // a draining cache server turns new commands away
 	late           Lateness
 }
 
@@ -47,6 +51,11 @@
 // Named makes its servers' names begin with something, so that those of several fleets differ.
 func (f *Fleet) Named(begin string) { f.named = begin }
 
+// ServeTiles makes all of them tile servers.
+func (f *Fleet) ServeTiles(service *tiles.Service, t *TrafficType) {
+	f.tiles, f.tileType, f.pictures = service, t, map[string][]byte{}
+}
+
 // Book is what was seen. It is read once the loop has ended, or on it.
 func (f *Fleet) Book() *Book { return f.book }
 
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -7,6 +7,7 @@
 	"math"
 	"math/rand/v2"
 
+	"bendtrestle/internal/tiles"
 	"bendtrestle/logic"
 )
 
@@ -25,6 +26,7 @@
 	HardStop float64
 	Benefit  float64
 	Tenant   string
+	Scheme   tiles.Scheme // it is a tile, asked for so; else a key
 }
 
 // draw gives an operation's work: log-normal, so that it is never below 0 and its tail is long.
--- /dev/null
+++ b/internal/standin/tilespeech.go
@@ -0,0 +1,187 @@
+package standin
+
+import (
+	"bytes"
+	"encoding/binary"
+	"fmt"
+	"hash/crc32"
+	"image"
+	"image/color"
+	"image/png"
+	"strconv"
+	"strings"
+
+	"bendtrestle/internal/http1"
+	"bendtrestle/internal/ring"
+	"bendtrestle/internal/tiles"
+)
+
+// tileSpeech is HTTP of a tile server: any scheme, conditional requests, and tiles that are drawn from their addresses.
+type tileSpeech struct {
+	c      *serverConn
+	reader http1.RequestReader
+	target string
+	id     string
+	wait   string
+	tag    string // of which the sender has a copy
+}
+
+func (t *tileSpeech) read(in *ring.Buffer) (bool, error) { return t.reader.Read(in, t) }
+func (t *tileSpeech) begun() bool                        { return t.reader.Begun() }
+func (t *tileSpeech) busy() string {
+	return "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+}
+func (t *tileSpeech) failed() string {
+	return "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n"
+}
+
+// Begin takes a request line.
+func (t *tileSpeech) Begin(_, target string) { t.target, t.id, t.wait, t.tag = target, "", "", "" }
+
+// Header takes a header.
+func (t *tileSpeech) Header(name, value string) {
+	switch name {
+	case "x-request-id":
+		t.id = value
+	case "x-wait-ms":
+		t.wait = value
+	case "if-none-match":
+		t.tag = value
+	}
+}
+
+// Request takes the end of a request.
+func (t *tileSpeech) Request(bool) {
+	f := t.c.s.f
+	if t.target == "/" {
+		f.book.Probes++
+		t.c.say("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nok\n")
+		return
+	}
+	asked, fault := f.tiles.Parse(t.target)
+	if fault != nil || asked.Capabilities || f.tileType == nil {
+		t.c.say("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
+		return
+	}
+	ms, _ := strconv.ParseFloat(t.wait, 64) // 0 where it is not said
+	t.c.take(f.tileType, asked.Tile.Key(), t.id, "", ms/1e3, asked.Tile)
+	if len(t.c.replies) > 0 {
+		t.c.replies[len(t.c.replies)-1].tag = t.tag
+	}
+}
+
+// value draws a tile. Its picture is its address's; a note within the file tells who made it for whom.
+func (t *tileSpeech) value(r *reply) (string, uint32) {
+	tile := r.extra.(tiles.Tile)
+	s := t.c.s
+	etag := fmt.Sprintf("%q", fmt.Sprintf("%08x", crc32.ChecksumIEEE([]byte(r.key))))
+	if r.tag == etag {
+		return "HTTP/1.1 304 Not Modified\r\nETag: " + etag + "\r\n\r\n", 0
+	}
+	note := fmt.Sprintf("server %s, for %s, number %d", s.Name, r.x.ID, s.f.serial())
+	body := annotate(s.f.picture(tile), note, r.x.Type.Size)
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: image/png\r\nETag: %s\r\nCache-Control: max-age=60\r\nContent-Length: %d\r\n\r\n", etag, len(body))
+	return head + string(body), crc32.ChecksumIEEE(body)
+}
+
+// spoiled makes noise of an answer: no status line, two lengths, one far too long, chunks that do not fit, a part.
+func (t *tileSpeech) spoiled(text string) string {
+	switch t.c.s.chance.IntN(5) {
+	case 0:
+		return "\x00\xff~~ noise\r\n"
+	case 1:
+		return "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nhi"
+	case 2:
+		return "HTTP/1.1 200 OK\r\nContent-Length: 200000000\r\n\r\n" + text
+	case 3:
+		return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"
+	}
+	return text[:len(text)/2]
+}
+
+const pictures = 4096 // that are kept: several views' worth, of some 1 KB each
+
+// picture draws a tile: a colour that its column and row give, and its address, so that a person sees which it is.
+func (f *Fleet) picture(t tiles.Tile) []byte {
+	key := t.Key()
+	if p := f.pictures[key]; p != nil {
+		return p
+	}
+	if len(f.pictures) >= pictures {
+		clear(f.pictures)
+	}
+	side := 256
+	if t.Twice {
+		side = 512
+	}
+	shade := uint8(200 + 40*((t.Col+t.Row)%2))
+	img := image.NewPaletted(image.Rect(0, 0, side, side), color.Palette{color.RGBA{shade, shade, uint8(180 + 5*(t.Col%15)), 255},
+		color.RGBA{40, 60, 90, 255}})
+	for i := range side { // a frame
+		img.SetColorIndex(i, 0, 1)
+		img.SetColorIndex(0, i, 1)
+	}
+	for n, line := range []string{t.Layer, "Z" + t.Matrix, "X" + strconv.Itoa(t.Col), "Y" + strconv.Itoa(t.Row)} {
+		write(img, 20, 30+n*50, strings.ToUpper(line), side/64)
+	}
+	var b bytes.Buffer
+	(&png.Encoder{CompressionLevel: png.BestSpeed}).Encode(&b, img) // into memory
+	f.pictures[key] = b.Bytes()
+	return b.Bytes()
+}
+
+// annotate puts a note into a PNG, before its end, filled up so that the file has a size at least.
+func annotate(file []byte, note string, size int) []byte {
+	const end = 12 // bytes of the last chunk
+	data := "Comment\x00" + note
+	if more := size - len(file) - len(data) - 12; more > 0 {
+		data += strings.Repeat(" ", more)
+	}
+	out := append(make([]byte, 0, len(file)+len(data)+12), file[:len(file)-end]...)
+	out = binary.BigEndian.AppendUint32(out, uint32(len(data)))
+	chunk := append([]byte("tEXt"), data...)
+	out = binary.BigEndian.AppendUint32(append(out, chunk...), crc32.ChecksumIEEE(chunk))
+	return append(out, file[len(file)-end:]...)
+}
+
+// Note gives the note that a stand-in put into a PNG.
+func Note(file []byte) string {
+	_, note, found := bytes.Cut(file, []byte("tEXtComment\x00"))
+	if !found {
+		return ""
+	}
+	note, _, _ = bytes.Cut(note[:max(0, len(note)-4)], []byte("IEND"))
+	if len(note) > 8 {
+		note = note[:len(note)-8]
+	}
+	return strings.TrimSpace(string(note))
+}
+
+// write draws letters of three columns and five rows, each dot of so many pixels.
+func write(img *image.Paletted, x, y int, text string, dot int) {
+	for _, r := range text {
+		bits := letters[r]
+		for i := range 15 {
+			if bits>>(14-i)&1 == 1 {
+				for dx := range dot {
+					for dy := range dot {
+						img.SetColorIndex(x+i%3*dot+dx, y+i/3*dot+dy, 1)
+					}
+				}
+			}
+		}
+		x += 4 * dot
+	}
+}
+
+// letters are dots, row by row.
+var letters = map[rune]uint16{
+	'0': 0b111101101101111, '1': 0b010110010010111, '2': 0b111001111100111, '3': 0b111001111001111, '4': 0b101101111001001,
+	'5': 0b111100111001111, '6': 0b111100111101111, '7': 0b111001010010010, '8': 0b111101111101111, '9': 0b111101111001111,
+	'A': 0b010101111101101, 'B': 0b110101110101110, 'C': 0b011100100100011, 'D': 0b110101101101110, 'E': 0b111100110100111,
+	'F': 0b111100110100100, 'G': 0b011100101101011, 'H': 0b101101111101101, 'I': 0b111010010010111, 'J': 0b001001001101010,
+	'K': 0b101101110101101, 'L': 0b100100100100111, 'M': 0b101111111101101, 'N': 0b110101101101101, 'O': 0b010101101101010,
+	'P': 0b110101110100100, 'Q': 0b010101101111011, 'R': 0b110101110101101, 'S': 0b011100010001110, 'T': 0b111010010010010,
+	'U': 0b101101101101111, 'V': 0b101101101101010, 'W': 0b101101111111101, 'X': 0b101101010101101, 'Y': 0b101101010010010,
+	'Z': 0b111001010100111, '-': 0b000000111000000,
+}
