--- a/internal/sock/conn.go
+++ b/internal/sock/conn.go
@@ -52,15 +52,20 @@
 		errors.Is(err, unix.ECONNRESET)
 }
 
+// sockaddr gives an address as the kernel has it.
+func sockaddr(addr netip.AddrPort) (family int, sa unix.Sockaddr) {
+	if addr.Addr().Is4() {
+		return unix.AF_INET, &unix.SockaddrInet4{Port: int(addr.Port()), Addr: addr.Addr().As4()}
+	}
+	return unix.AF_INET6, &unix.SockaddrInet6{Port: int(addr.Port()), Addr: addr.Addr().As16()}
+}
+
 // Dial begins a connection to an address. It does not wait: Opened or Closed follows.
 func (l *Loop) Dial(addr netip.AddrPort, h Handler) (*Conn, error) {
 	if !addr.IsValid() {
 		return nil, unix.EADDRNOTAVAIL
 	}
-	family, to := unix.AF_INET6, unix.Sockaddr(&unix.SockaddrInet6{Port: int(addr.Port()), Addr: addr.Addr().As16()})
-	if addr.Addr().Is4() {
-		family, to = unix.AF_INET, &unix.SockaddrInet4{Port: int(addr.Port()), Addr: addr.Addr().As4()}
-	}
+	family, to := sockaddr(addr)
 	fd, err := unix.Socket(family, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
 	if err != nil {
 		return nil, err
