--- a/internal/decide/contracts/contracts_test.go
+++ b/internal/decide/contracts/contracts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -310,3 +311,19 @@
 	between(t, "what it counts behind others", mean(func(i int) float64 { return 0.01 + 0.2*float64(min(i%3, 1)) }), 0.03, 0.05)
 	between(t, "what it counts once all are dear", mean(func(int) float64 { return 0.1 }), 0.09, 0.1001)
 }
+
+// What a team holds that is known and idle, in bytes.
+func BenchmarkBytesATeam(b *testing.B) {
+	const n = 10000
+	all := many(n)
+	var before, after runtime.MemStats
+	for range b.N {
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		p := pool(2*n, all...)
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		runtime.KeepAlive(p)
+	}
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/n, "bytes/team")
+}
--- a/internal/lab/play_test.go
+++ b/internal/lab/play_test.go
@@ -263,3 +263,48 @@
 		t.Errorf("a single pair says %+v", d[0])
 	}
 }
+
+// One team at ten times its budget, another within: the rules hold, and the other notices nothing.
+func TestSurgeBeyondAContract(t *testing.T) {
+	t.Parallel()
+	const teams = `name = "teams"
+seconds = 4
+settle = 0.5
+[fleet]
+servers = 4
+cores = 2
+[clients]
+rate = 100
+[[team]]
+name = "steady"
+budget = 3.0
+[[team]]
+name = "surging"
+budget = 0.5
+burst = 0.2
+[[fault]]
+kind = "surge"
+target = "tenant:surging"
+at = 1
+for = 2
+factor = 15.0
+[[fault]]
+kind = "contract"
+target = "team:surging"
+at = 1.5
+for = 1
+factor = 0.5
+`
+	types := func(name string) string {
+		return "[[type]]\nname = \"" + name + "\"\ntenant = \"" + name + "\"\nshare = 1\neffect = \"reissuable\"\nwork_ms = 3\nsize = 100\npromised_ms = 200\nhard_stop_ms = 600\nbenefit = 1\n"
+	}
+	s, err := ParseScenario("teams", teams+types("steady")+types("surging"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := played(t, s, as(t, "logic"))
+	steady, surging := r.Figures.Tenants["steady"], r.Figures.Tenants["surging"]
+	if r.Verdict != RulesKept || steady.Declined > 0.01 || surging.Declined < 0.3 {
+		t.Errorf("%s: the steady team stands at %+v, the surging one at %+v", r.Verdict, steady, surging)
+	}
+}
