Bound what clients can make up, and let go of tiles given up midway

Seen on reading the change: with contracts the module kept a record for every tenant that any client names; a tile that a timer gave up midway counted as held for ever, until all tiles would be refused; SIGTERM waited only as long as the present contracts' hard stops, so that what was open under one that had gone could be lost. Change: the platform's route drops tenants it does not know; a wire is told when its connection closes; the longest hard stop that ever held counts. Measured: a test each; the table of tile outcomes is one now.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -68,6 +68,7 @@
 	doors     *bulkhead.Places // clients' connections
 	tallies   map[string]*Tally
 	revision  int
+	longest   float64
 }
 
 // pool is one pool with its budgets.
@@ -107,7 +108,10 @@
 func New(now func() float64, set logic.Settings, core *router.Router, limits Limits) *Broker {
 	b := &Broker{now: now, me: set.Me, routers: max(1, set.Routers), seed: set.Seed, limits: limits, tallies: map[string]*Tally{},
 		places: bulkhead.New(limits.Open), bytes: bulkhead.New(limits.Held), doors: bulkhead.New(limits.Connections)}
-	b.plain = &plain{b: b, core: core, types: set.TrafficTypes, hardStops: map[string]float64{}}
+	b.plain = &plain{b: b, core: core, types: set.TrafficTypes, hardStops: map[string]float64{}, tenants: map[string]bool{}}
+	for _, t := range set.Tenants {
+		b.plain.tenants[t.Name] = true
+	}
 	for _, t := range set.TrafficTypes {
 		b.plain.hardStops[t.Name] = t.HardStop
 	}
@@ -165,6 +169,7 @@
 	core      *router.Router
 	types     []logic.TrafficType // the platform's, which stay with its pool
 	hardStops map[string]float64
+	tenants   map[string]bool // that the platform knows
 }
 
 func (p *plain) HardStop(kind string) (float64, bool) {
@@ -177,6 +182,9 @@
 func (p *plain) Take(op *router.Operation, client router.Client) (*router.Router, uint64) {
 	p.b.places.Force(nil, 1)
 	op.Account = p
+	if !p.tenants[op.Tenant] {
+		op.Tenant = "" // the module keeps a record of each: clients must not make up ever new ones
+	}
 	return p.core, p.core.Taken(op, client)
 }
 
@@ -349,6 +357,7 @@
 		byte: b.bytes.Share(terms.Team), door: b.doors.Share(terms.Team), out: p.out.Share(terms.Team)}
 	for _, k := range terms.Types {
 		// Until its operations are seen one is taken to cost a quarter of the promised time, as the module does.
+		b.longest = max(b.longest, k.HardStop)
 		t.kinds[k.Name] = kind{name: terms.Team + "/" + k.Name, stop: k.HardStop, guess: k.PromisedTime / 4}
 	}
 	if t.tally = b.tallies[terms.Team]; t.tally == nil {
@@ -433,15 +442,8 @@
 // Has tells whether there is such a team.
 func (b *Broker) Has(team string) bool { return b.teams[team] != nil }
 
-// LongestStop is the longest hard stop of any contract.
-func (b *Broker) LongestStop() (longest float64) {
-	for _, t := range b.teams {
-		for _, k := range t.kinds {
-			longest = max(longest, k.stop)
-		}
-	}
-	return longest
-}
+// LongestStop is the longest hard stop of any contract that ever held: what is open may have begun under it.
+func (b *Broker) LongestStop() float64 { return b.longest }
 
 // Open is how many operations have a place.
 func (b *Broker) Open() int { return b.places.Used() }
--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -213,3 +213,21 @@
 		})
 	}
 }
+
+// Clients that make up tenants leave nothing behind in the module of the platform's pool.
+func TestMadeUpTenants(t *testing.T) {
+	b, o, _ := serving(t, ample, terms("a", "own", 1))
+	b.ask("made-up", "k")
+	if len(o.ops) != 1 || o.ops[0].Tenant != "" {
+		t.Errorf("the module is told of tenant %q", o.ops[0].Tenant)
+	}
+}
+
+// A router that ends waits as long as the longest contract under which something may be open, also one that has gone.
+func TestLongestStopOutlivesItsContract(t *testing.T) {
+	b, _, pools := serving(t, ample, terms("a", "own", 1))
+	b.Change(pools, nil, ToPlatform)
+	if b.LongestStop() != view.HardStop {
+		t.Errorf("it waits %v", b.LongestStop())
+	}
+}
--- a/internal/caches/link.go
+++ b/internal/caches/link.go
@@ -169,6 +169,7 @@
 	}
 	l.timer.Stop()
 	l.conn.Close()
+	l.wire.Drop()
 }
 
 // Input reads replies.
--- a/internal/caches/memcache.go
+++ b/internal/caches/memcache.go
@@ -16,6 +16,7 @@
 	Read(in *ring.Buffer) (whole bool, err error)        // hands on the next reply; after an error nothing more can be read
 	Begun() bool                                         // a reply has begun and is not whole
 	Closed()                                             // the server has ended the connection
+	Drop()                                               // the connection is closed: nothing more is read, what came is let go
 }
 
 // Link is what a wire calls.
@@ -36,6 +37,7 @@
 func (m *memcache) Read(in *ring.Buffer) (bool, error) { return m.reader.Read(in, m) }
 func (m *memcache) Begun() bool                        { return m.reader.Begun() }
 func (m *memcache) Closed()                            {}
+func (m *memcache) Drop()                              {}
 
 // Command writes an operation's command, or a probe's.
 func (m *memcache) Command(op *router.Operation, left float64) [][]byte {
--- a/internal/caches/tilewire/tilewire.go
+++ b/internal/caches/tilewire/tilewire.go
@@ -61,7 +61,9 @@
 	}
 }
 
-// drop lets go of a body.
+// Drop lets go of what came of a body: one that is given up midway must not count as held for ever.
+func (w *wire) Drop() { w.drop() }
+
 func (w *wire) drop() {
 	w.s.held -= len(w.body)
 	w.body = nil
--- /dev/null
+++ b/internal/caches/tilewire/tilewire_test.go
@@ -0,0 +1,67 @@
+package tilewire
+
+import (
+	"testing"
+
+	"bendtrestle/internal/ring"
+	"bendtrestle/internal/router"
+	"bendtrestle/internal/tiles"
+	"bendtrestle/logic"
+)
+
+// link notes how what was asked for ended.
+type link struct {
+	op    *router.Operation
+	ended []logic.Outcome
+	stray int
+}
+
+func (l *link) Due() (*router.Operation, bool)                      { return l.op, l.op != nil }
+func (l *link) Answered(how logic.Outcome, _ router.Result, _ bool) { l.ended = append(l.ended, how) }
+func (l *link) Stray(string)                                        { l.stray++ }
+
+func fed(s *Servers, l *link, text string) (*wire, error) {
+	w := s.Wire(l).(*wire)
+	in := ring.New(4096)
+	in.Write([]byte(text))
+	_, err := w.Read(in)
+	return w, err
+}
+
+// A body that is given up midway, too large or never ends is let go: else all tiles would be refused after a while.
+func TestNothingIsHeldForEver(t *testing.T) {
+	s := &Servers{Scheme: tiles.XYZ, Largest: 20, Most: 30}
+	for _, text := range []string{"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", "HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n",
+		"HTTP/1.1 200 OK\r\n\r\n" + "0123456789012345678901234567890"} {
+		w, _ := fed(s, &link{op: &router.Operation{}}, text)
+		if w.Drop(); s.Held() != 0 {
+			t.Errorf("after %q %d bytes are held", text, s.Held())
+		}
+	}
+	one, _ := fed(s, &link{op: &router.Operation{}}, "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n0123456789012345678")
+	if _, err := fed(s, &link{op: &router.Operation{}}, "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n0123456789012345678"); err == nil || s.Held() != 19 {
+		t.Errorf("more than all may hold was taken: %d bytes, %v", s.Held(), err)
+	}
+	if one.Drop(); s.Held() != 0 {
+		t.Errorf("%d bytes are held", s.Held())
+	}
+}
+
+// The table of outcomes in docs/operators/tiles.md.
+func TestOutcomes(t *testing.T) {
+	for status, want := range map[string]logic.Outcome{"200": logic.Finished, "404": logic.Finished, "204": logic.Finished, "304": logic.Error,
+		"302": logic.Error, "403": logic.Error, "429": logic.TurnedAway, "503": logic.TurnedAway, "500": logic.Error} {
+		l := &link{op: &router.Operation{}}
+		if fed(&Servers{Largest: 9, Most: 9}, l, "HTTP/1.1 "+status+" X\r\nContent-Length: 0\r\n\r\n"); len(l.ended) != 1 || l.ended[0] != want {
+			t.Errorf("%s ends as %v, want %v", status, l.ended, want)
+		}
+	}
+	l := &link{op: &router.Operation{Flags: "If-None-Match: x\r\n"}}
+	if fed(&Servers{}, l, "HTTP/1.1 304 X\r\n\r\n"); l.ended[0] != logic.Finished {
+		t.Error("what was not modified is no answer")
+	}
+	l = &link{}
+	if fed(&Servers{}, l, "HTTP/1.1 200 X\r\nContent-Length: 0\r\n\r\n"); l.stray != 1 {
+		t.Error("an answer that nobody asked for is taken")
+	}
+}
