Know tiles by their listener alone; show that a closed connection lets go

Seen: a client of the text protocol that named a team of map tiles as its tenant was routed to tile servers, with a key that is no tile's. Change: tenant and prefix beside [team.tiles] are a fault of the operators' file; a test counts that a wire is told.

--- a/internal/caches/caches_test.go
+++ b/internal/caches/caches_test.go
@@ -429,3 +429,24 @@
 	f.line("mg")
 	f.line("end")
 }
+
+// counted counts how often it is told that its connection is closed.
+type counted struct {
+	Wire
+	drops *int
+}
+
+func (c counted) Drop() { *c.drops++ }
+
+// Whatever ends a connection, its wire is told, and lets go of what has come: here an execution is given up midway.
+func TestWiresAreToldOfTheEnd(t *testing.T) {
+	f, drops := serving(t, Limits{Connections: 4, PerConnection: 1, ConnectTimeout: 1, Stall: 0.03, Idle: 60}, func(c net.Conn, _ string) { io.WriteString(c, "VA 9 Oa\r\nhal") }), 0
+	f.do(f.loop, func() { f.wire = func(l Link) Wire { return counted{Memcache(l), &drops} } })
+	o, _ := f.execute(0.05)
+	<-o
+	f.do(f.loop, func() {
+		if drops != 1 {
+			t.Errorf("it was told %d times", drops)
+		}
+	})
+}
--- a/internal/lab/teams.go
+++ b/internal/lab/teams.go
@@ -38,8 +38,11 @@
 		if s.Broker.Budgets == "none" { // as good as none: nobody comes near it
 			budget, burst = 1e6, 1e6
 		}
-		fmt.Fprintf(&b, "\n[[team]]\nname = %q\npool = %q\ntenant = %q\nbudget = %v\nburst = %v\nborrow = %v\nweight = %v\n", t.Name, t.Pool,
-			t.Name, budget, burst, t.Borrow, t.Weight)
+		fmt.Fprintf(&b, "\n[[team]]\nname = %q\npool = %q\nbudget = %v\nburst = %v\nborrow = %v\nweight = %v\n", t.Name, t.Pool, budget, burst,
+			t.Borrow, t.Weight)
+		if !s.hasTiles(t.Name) {
+			fmt.Fprintf(&b, "tenant = %q\n", t.Name)
+		}
 		if addr := tileFront(t.Name); s.hasTiles(t.Name) {
 			fmt.Fprintf(&b, "listen = %q\n[team.tiles]\ntitle = \"Maps\"\nwait_header = %q\n[[team.tiles.layer]]\nname = \"roads\"\ntitle = \"Roads\"\n",
 				addr, standin.WaitHeader)
--- a/internal/operators/operators_test.go
+++ b/internal/operators/operators_test.go
@@ -103,6 +103,9 @@
 		"[broker]\nothers = \"me\"\n": `broker.others: "me" is not one of platform, nobody`,
 		pool + pool:                   `pool.1.name: "p" is there twice`,
 		"[[pool]]\nname = \"p\"\ndiscovery = \"x\"\nconnections = 0.95\n": "0.95 is not above 0 and at most 0.9 of all",
+		"[[pool]]\nname = \"p\"\nprotocol = \"tiles\"\ndiscovery = \"127.0.0.1:1\"\nconnections = 0.2\n" +
+			team("a", by+"listen = \"127.0.0.1:2\"\n[team.tiles]\n[[team.tiles.layer]]\nname = \"l\"\n"+kind): "tiles are known by their listener alone",
+		pool + team("a", "listen = \"127.0.0.1:2\"\n[team.tiles]\n[[team.tiles.layer]]\nname = \"l\"\n"+kind): "needs a pool whose protocol is tiles",
 		pool + "warm = 0.0\n": "pool.0.warm: 0 is not above 0",
 	} {
 		_, err := Read(file(t, text))
--- a/internal/operators/tiles.go
+++ b/internal/operators/tiles.go
@@ -65,6 +65,9 @@
 	if t.Listen == "" {
 		f.from.Fault(team+".listen", "missing: tiles need an address of their own")
 	}
+	if t.Tenant != "" || t.Prefix != "" { // what comes by these has another protocol, and no tile's key
+		f.from.Fault(team+".tenant", "tiles are known by their listener alone: tenant and prefix must be left out")
+	}
 	if t.Tiles.Type != "" && !slices.ContainsFunc(t.Types, func(k Type) bool { return k.Name == t.Tiles.Type }) {
 		f.from.Fault(key("type"), "%q is not a traffic type of the team", t.Tiles.Type)
 	}
