--- a/internal/caches/caches_test.go
+++ b/internal/caches/caches_test.go
@@ -440,7 +440,7 @@
 
 // Whatever ends a connection, its wire is told, and lets go of what has come: here an execution is given up midway.
 func TestWiresAreToldOfTheEnd(t *testing.T) {
-	f, drops := serving(t, Limits{Connections: 4, PerConnection: 1, ConnectTimeout: 1, Stall: 0.03, Idle: 60}, func(c net.Conn, _ string) { io.WriteString(c, "VA 9 Oa\r\nhal") }), 0
+	f, drops := serving(t, Limits{Connections: 4, PerConnection: 1, ConnectTimeout: 1, Stall: 0.03, Idle: 60}, func(c net.Conn, _ string) { c.Write([]byte("VA 9 Oa\r\nhal")) }), 0
 	f.do(f.loop, func() { f.wire = func(l Link) Wire { return counted{Memcache(l), &drops} } })
 	o, _ := f.execute(0.05)
 	<-o
