Let load play only the faults of clients, not fall over the others

Seen: trestlelab load with a scenario that has a surge ended in a panic: it looked for a fleet that is not there.

--- a/internal/lab/alone.go
+++ b/internal/lab/alone.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"slices"
 	"text/tabwriter"
 	"time"
 
@@ -139,10 +140,16 @@
 			return Loaded{}, fmt.Errorf("--to %s: not an address and a port on this machine's loopback", addr)
 		}
 	}
+	if slices.ContainsFunc(s.Types, func(t TypePart) bool { return t.Scheme != "" }) {
+		return Loaded{}, fmt.Errorf("%s: its clients ask for map tiles, which trestlelab run plays", s.Name)
+	}
 	loop, err := sock.New()
 	if err != nil {
 		return Loaded{}, err
 	}
+	alone := *s // the clients' own faults are played; there is nothing here that others could hit
+	alone.Faults = slices.DeleteFunc(slices.Clone(s.Faults), func(f Fault) bool { return f.Kind != "surge" && f.Kind != "hot-key" })
+	s = &alone
 	types := s.types()
 	s.Routers.Skew = nil
 	clients, err := standin.NewClients(loop, o.Seed, s.load(types), to, nil)
--- a/internal/lab/cause.go
+++ b/internal/lab/cause.go
@@ -83,7 +83,11 @@
 func (w *world) causeSimple(f Fault, t target, chance *rand.Rand, halt chan struct{}) {
 	var ends []func() error
 	plain := func(end func()) { ends = append(ends, func() error { end(); return nil }) }
-	about, length, fleet := "", f.For, w.fleets[w.at(f.Pool)]
+	about, length := "", f.For
+	var fleet *standin.Fleet // clients alone have none, nor faults that need one
+	if len(w.fleets) > 0 {
+		fleet = w.fleets[w.at(f.Pool)]
+	}
 	kind, tenant := t.name, ""
 	if t.what == "tenant" {
 		kind, tenant = "", t.name
--- a/internal/lab/play_test.go
+++ b/internal/lab/play_test.go
@@ -179,7 +179,9 @@
 	if _, err := RunLoad(context.Background(), scenario(t, short), Options{}, []string{"192.0.2.1:11211"}); err == nil {
 		t.Error("an address elsewhere was taken")
 	}
-	s := scenario(t, strings.Replace(short, "seconds = 4", "seconds = 1.5", 1))
+	// Of its faults only those of clients can be played.
+	s := scenario(t, strings.Replace(short, "seconds = 4", "seconds = 1.5", 1)+"[[fault]]\nkind = \"surge\"\ntarget = \"type:read\"\nat = 0.5\nfor = 0.5\nfactor = 2.0\n"+
+		"[[fault]]\nkind = \"stall\"\ntarget = \"servers\"\nat = 0.5\nfor = 0.5\n")
 	ctx, stop := context.WithCancel(context.Background())
 	o := options(t, as(t, "logic"))
 	config := filepath.Join(t.TempDir(), "router.json")
