Call a full list service ever more seldom, and follow the known list by its changes

Checked: the log's list lines of all routers by second; ruled out: the first call (answered in 8 ms by the agent), the parse, the loop (no list was posted). At fault: discovery/watch.go, a constant pause of 0.1 s after any failure, so 800 calls a second at a service that takes one from each router in some seconds; and two calls, whole and watch, where one does. Change: internal/decide/pace, waits that double and are spread, from a sixteenth to half of askWithin as the module has it where the list comes only when asked for (elsewhere 0.1 s as before); a start with a known list asks for changes since.

--- /dev/null
+++ b/internal/decide/pace/pace.go
@@ -0,0 +1,35 @@
+// Package pace decides how long a caller waits before a call that failed is made anew, so that many callers of one service
+// do not keep it full: each call made too early is one that the service turns away, and so is the next.
+package pace
+
+import (
+	"encoding/binary"
+	"hash/crc32"
+)
+
+// Pace is one caller's. Its waits double with each failure in a row, from First to Most, and are spread by half to either
+// side, so that callers that failed together do not come back together.
+type Pace struct {
+	First, Most float64 // seconds
+	Seed        uint32  // each caller has one of its own
+	draws       uint64
+	wait        float64
+}
+
+// Failed gives how long to wait, after a call that failed.
+func (p *Pace) Failed() float64 {
+	p.wait = min(max(2*p.wait, p.First), max(p.Most, p.First))
+	p.draws++
+	return p.wait * (0.5 + p.chance())
+}
+
+// Answered takes a call that succeeded.
+func (p *Pace) Answered() { p.wait = 0 }
+
+// chance draws a number from 0 up to 1. crc32 alone is affine, so that two callers would keep their distance.
+func (p *Pace) chance() float64 {
+	h := crc32.Update(p.Seed, crc32.IEEETable, binary.LittleEndian.AppendUint64(nil, p.draws)) ^ p.Seed
+	h = (h ^ h>>16) * 0x85ebca6b
+	h = (h ^ h>>13) * 0xc2b2ae35
+	return float64(h^h>>16) / (1 << 32)
+}
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -7,9 +7,11 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"bendtrestle/internal/decide/pace"
 	"bendtrestle/logic"
 
 	"github.com/rs/zerolog"
@@ -53,6 +55,8 @@
 	}
 }
 
+var quick = pace.Pace{First: 0.1, Most: 0.1}
+
 // The first call asks for the whole list, the next for what is newer, and a failure leaves the list and is
 // tried again from where it was.
 func TestWatch(t *testing.T) {
@@ -74,7 +78,7 @@
 		}
 	}))
 	news, failures := make(chan List, 10), make(chan error, 10)
-	go Watch(ctx, server.Listener.Addr().String(), 0, func(l List) { news <- l }, func(err error) { failures <- err },
+	go Watch(ctx, server.Listener.Addr().String(), Start{Pace: quick}, func(l List) { news <- l }, func(err error) { failures <- err },
 		zerolog.Nop())
 	for i, want := range []string{"", "from=41&hold_ms=2000", "from=41&hold_ms=2000", "from=43&hold_ms=2000"} {
 		select {
@@ -112,7 +116,7 @@
 		fmt.Fprintf(w, `{"generation":%d,"reset":true,"instances":[]}`, 40+n)
 	}))
 	news := make(chan List, 10)
-	go Watch(ctx, server.Listener.Addr().String(), 43, func(l List) { news <- l }, func(error) {}, zerolog.Nop())
+	go Watch(ctx, server.Listener.Addr().String(), Start{Known: 43, Pace: quick}, func(l List) { news <- l }, func(error) {}, zerolog.Nop())
 	if l := <-news; l.Generation != 43 {
 		t.Errorf("list %d was taken, though 43 was known", l.Generation)
 	}
@@ -120,3 +124,38 @@
 	server.CloseClientConnections()
 	server.Close()
 }
+
+// A service that has not all changes since the list that is known, for it was started anew, is asked for the whole list.
+func TestChangesOfAnotherCountAreNotTaken(t *testing.T) {
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	calls := make(chan string, 100)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		calls <- r.URL.RawQuery
+		fmt.Fprintf(w, `{"generation":3,"reset":%v,"instances":[]}`, r.URL.RawQuery == "")
+	}))
+	news := make(chan List, 100)
+	go Watch(ctx, server.Listener.Addr().String(), Start{Known: 41, Same: true, Pace: quick}, func(l List) { news <- l }, func(error) {}, zerolog.Nop())
+	if first, second := <-calls, <-calls; first != "from=41&hold_ms=2000" || second != "" {
+		t.Errorf("it asks for %q, then for %q", first, second)
+	}
+	stop()
+	server.CloseClientConnections()
+	server.Close()
+}
+
+// A service that is full stays full while all call again at once: the calls that it turns away come ever more seldom.
+func TestFullServiceIsCalledMoreSeldom(t *testing.T) {
+	ctx, stop := context.WithTimeout(context.Background(), time.Second)
+	defer stop()
+	var calls atomic.Int32
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		calls.Add(1)
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	Watch(ctx, server.Listener.Addr().String(), Start{Pace: pace.Pace{First: 0.02, Most: 10}}, func(List) {}, func(error) {}, zerolog.Nop())
+	if n := calls.Load(); n < 3 || n > 10 {
+		t.Errorf("%d calls within a second", n)
+	}
+	server.Close()
+}
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"time"
 
+	"bendtrestle/internal/decide/pace"
+
 	"github.com/cloudwego/netpoll"
 	"github.com/rs/zerolog"
 )
@@ -16,15 +18,22 @@
 	hold      = 2 * time.Second        // a call waits for news: short, so that a connection that hangs is soon found
 	patience  = 500 * time.Millisecond // beyond that an answer from the same machine is not coming
 	connected = 500 * time.Millisecond // to an agent on the same machine
-	pause     = 100 * time.Millisecond // before a failed call is made anew: a watch goes on within 200 ms
 	catchUp   = 2 * time.Second        // a service that was moved to has the last list by then, or counts its own way
 	bodyBound = 8 << 20                // tens of thousands of entries
 )
 
+// Start is what a watch begins with.
+type Start struct {
+	Known uint64    // the generation of the last list; a list older than that is taken only if none as new comes for a while
+	Same  bool      // the list service is the one that told it: changes since then will do
+	Pace  pace.Pace // between a call that failed and the next
+}
+
 // Watch calls the list service over and over, until ctx ends. Each list goes to news, each failure to failed;
-// both are called on Watch's own goroutine. A whole list older than known is taken only if none as new comes for
-// a while: a service that lags behind the one before it must not take back what that one told of drains.
-func Watch(ctx context.Context, addr string, known uint64, news func(List), failed func(error), log zerolog.Logger) {
+// both are called on Watch's own goroutine. A service that lags behind the one before it must not take back what that
+// one told of drains. A service that turns calls away has to do with all routers together: each waits longer and
+// longer, for as long as all call it again at once it stays full and no router ever has the list.
+func Watch(ctx context.Context, addr string, start Start, news func(List), failed func(error), log zerolog.Logger) {
 	dialer := netpoll.NewDialer()
 	client := http.Client{Transport: &http.Transport{
 		DialContext: func(_ context.Context, network, addr string) (net.Conn, error) {
@@ -33,7 +42,8 @@
 		DisableCompression: true,
 	}}
 	defer client.CloseIdleConnections()
-	whole, from, since := true, uint64(0), time.Now() // until a whole list has come, it is asked for
+	known, waits, since := start.Known, start.Pace, time.Now()
+	whole, from := !start.Same, known // until a whole list has come, it is asked for
 	for last := ""; ctx.Err() == nil; {
 		url := "http://" + addr + "/catalog/members"
 		if !whole {
@@ -42,8 +52,11 @@
 		l, err := call(ctx, &client, url)
 		if whole && err == nil && l.Generation < known && time.Since(since) < catchUp {
 			err = fmt.Errorf("generation %d is older than the last list, %d", l.Generation, known)
+		} else if !whole && err == nil && l.Generation < from {
+			whole, err = true, fmt.Errorf("generation %d is older than what was asked for, %d", l.Generation, from)
 		}
 		if err == nil {
+			waits.Answered()
 			if last != "" {
 				log.Info().Msg("the list service answers again")
 			}
@@ -58,7 +71,7 @@
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(pause):
+		case <-time.After(time.Duration(waits.Failed() * float64(time.Second))):
 		}
 	}
 }
--- a/internal/service/pool.go
+++ b/internal/service/pool.go
@@ -5,6 +5,7 @@
 	"maps"
 
 	"bendtrestle/internal/caches"
+	"bendtrestle/internal/decide/pace"
 	"bendtrestle/internal/discovery"
 	"bendtrestle/internal/router"
 	"bendtrestle/logic"
@@ -22,6 +23,8 @@
 	onDemand bool            // its module asks for the list
 	listed   map[uint64]bool // the servers that the list holds
 	told     uint64          // the list's generation as the list service last told it
+	known    discovery.List  // the list as the router's last run had it
+	pace     pace.Pace       // of calls to the list service that fail
 	watch    *watch          // whose news count
 	next     *watch          // that watch's successor, until it has told a whole list
 	log      zerolog.Logger
@@ -36,6 +39,12 @@
 // newPool makes one without servers.
 func (s *Service) newPool(name string, set logic.Settings, connections int, connect, stall, idle float64, streams int, wire func(caches.Link) caches.Wire) *pool {
 	p := &pool{s: s, name: name, onDemand: set.OnRequest, listed: map[uint64]bool{}, log: s.log}
+	// Where the list comes only when asked for, one service answers all routers; the waits are those of the module
+	// (logic.Listed). Elsewhere it is an agent beside the router, and a watch goes on within 0.2 s.
+	p.pace = pace.Pace{First: 0.1, Most: 0.1, Seed: set.Seed}
+	if set.OnRequest {
+		p.pace.First, p.pace.Most = max(0.1, set.AskWithin/16), max(set.AskWithin/2, 1)
+	}
 	if name != "" {
 		p.log = s.log.With().Str("pool", name).Logger()
 	}
@@ -62,7 +71,12 @@
 	ctx, stop := context.WithCancel(context.Background())
 	w := &watch{addr: addr, stop: stop}
 	p.next = w
-	go discovery.Watch(ctx, addr, p.told, func(l discovery.List) {
+	start := discovery.Start{Known: p.told, Pace: p.pace}
+	if p.watch == nil && p.told == 0 && len(p.known.Entries) > 0 { // what it has told before this start is known
+		start.Known, start.Same = p.known.Generation, true
+	}
+	p.pace.Seed++ // another's chance for the next
+	go discovery.Watch(ctx, addr, start, func(l discovery.List) {
 		p.s.loop.Post(func() { p.news(w, l) })
 	}, func(error) {
 		if p.onDemand { // elsewhere the module has asked for nothing
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -146,6 +146,7 @@
 	s.platform = s.newPool("", c.Settings, c.Caches, c.ConnectTimeout, stall(c.ConnectTimeout), c.ConnIdle, c.PerConnection, caches.Memcache)
 	s.broker = broker.New(s.loop.Now, c.Settings, s.platform.router, broker.Limits{Open: c.Open, Held: c.Held, Connections: c.Clients})
 	s.front = front.New(s.loop, s.broker, front.Limits{Connections: c.Clients, Spare: c.Spare})
+	s.platform.known = c.Known
 	s.platform.hear(logic.Disk, c.Known)
 	s.listener, err = s.loop.Listen(c.Listen, s.front.Room, s.front.At("", front.Memcache))
 	if err != nil {
