Let fresh caches keep their slice where all tell of load, and sum it over three seconds

At fault: logic.go, nearest (w*r.taken; that guard was for caches of whose strain nothing tells) and weigh (load over one second: keys near a cache's bound moved to and fro and missed at both). Change: where words of the last second tell of all caches, a fresh one's slice is the surely reached part itself; load is summed over three seconds. Words of contracts are told from the module's by three bytes, the new size, no longer five.

--- a/internal/decide/contracts/parts.go
+++ b/internal/decide/contracts/parts.go
@@ -31,7 +31,8 @@
 	// served there until the others have heard of it.
 	floor = 0.1
 
-	tag       = 0xc7 // the first byte; what else peers say has a length that is a multiple of five
+	tag       = 0xc7 // the first byte; what else peers say has a length that is a multiple of others
+	others    = 3    // the size of a word of the module
 	head      = 4    // tag, the router's number, and how many entries follow
 	entry     = 6    // a checksum of the team's name, and its demand
 	mostBytes = 256  // of a message, by the protocol
@@ -106,7 +107,7 @@
 	if len(active) > most {
 		s.turn = (s.turn + most) % len(active)
 	}
-	if len(words)%5 == 0 {
+	if len(words)%others == 0 {
 		words = append(words, 0)
 	}
 	return words
@@ -114,7 +115,7 @@
 
 // Heard takes a peer's words; false if they are no such words.
 func (s *Parts) Heard(now float64, words []byte) bool {
-	if len(words) < head || words[0] != tag || len(words)%5 == 0 {
+	if len(words) < head || words[0] != tag || len(words)%others == 0 {
 		return false
 	}
 	from, n := int(binary.LittleEndian.Uint16(words[1:])), int(words[3])
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -221,7 +221,10 @@
 
 // nearest is the design's pick: of the caches that pass the one most similar to the key; ties go by a hash.
 func (r *Router) nearest(hash uint32, pass func(*server) bool) (best *server) {
-	tie, far, near := uint32(0), 0, []point(nil)
+	tie, far, near, taken := uint32(0), 0, []point(nil), r.taken
+	if r.loadAt > 0 && r.now-r.loadAt < 1 {
+		taken = 1
+	}
 	for i := range r.points {
 		if i == len(near) { // few lookups go beyond the first
 			near = r.order(hash%slots, max(16, 8*i))
@@ -230,11 +233,11 @@
 		if best != nil && p.far > far {
 			break
 		}
-		// A fresh cache gets a slice of the keys; one point's would follow its gap. Nothing tells of its strain: it
-		// takes no part of what the warm ones shed (rule 4).
+		// A fresh cache gets a slice of the keys; one point's would follow its gap. Where nothing tells of its strain
+		// it takes no part of what the warm ones shed (rule 4); where all tell, that left it idle as they jammed.
 		w, part := r.warmth(p.on), float64(mix(hash, p.on.ID))/(1<<32)
 		slow := float64(p.rank) >= math.Ceil(float64(p.on.points)*p.on.share)
-		if w < 1 && part >= w*r.taken || slow || !pass(p.on) {
+		if w < 1 && part >= w*taken || slow || !pass(p.on) {
 			continue
 		}
 		if h := mix(hash, p.on.ID); best == nil || h < tie {
@@ -268,8 +271,8 @@
 		return r.crowded(s)
 	}
 	// The ramp begins below twice the mean, since it moves parts: from 2, 1.4, 1 times 1.4 did best.
-	most := 1.4 * r.load * math.Exp(r.loadAt-r.now) / float64(len(r.ready))
-	load, part := s.load*math.Exp(s.loadAt-r.now), float64(mix(op.hash, s.ID))/(1<<32)
+	most := 1.4 * r.load * math.Exp((r.loadAt-r.now)/recall) / float64(len(r.ready))
+	load, part := s.load*math.Exp((s.loadAt-r.now)/recall), float64(mix(op.hash, s.ID))/(1<<32)
 	// One that takes several times as long as others has failed in all but name.
 	fast := math.Pow(min(1, 2.5/max(s.joint, 1e-9)), 4)
 	return load >= 2 && part > max(min(fast, most/load), 1.0/32)
@@ -649,11 +652,13 @@
 	}
 }
 
+const recall = 3 // seconds over which load is summed: with 1 more keys moved to and fro, and missed
+
 // weigh adds a word to what all routers have in flight, the number of executions times how long each was out,
 // and to how slow a cache is: over about a second, some dozens of words; where few come each weighs more.
 func (r *Router) weigh(s *server, took float64) {
-	r.load, r.loadAt = r.load*math.Exp(r.loadAt-r.now)+took, r.now
-	s.load = s.load*math.Exp(s.loadAt-r.now) + took
+	r.load, r.loadAt = r.load*math.Exp((r.loadAt-r.now)/recall)+took, r.now
+	s.load = s.load*math.Exp((s.loadAt-r.now)/recall) + took
 	s.joint += (took - s.joint) * min(max(1-math.Exp(s.loadAt-r.now), 1.0/32), 0.5)
 	s.loadAt = r.now
 }
