Wait longer before the first repeat of a call that the list service turned away

At fault: pool.go, first wait of 0.6 s; calls turned away cost the service as well, so 80 routers a second kept it full.

--- a/internal/service/pool.go
+++ b/internal/service/pool.go
@@ -39,11 +39,12 @@
 // newPool makes one without servers.
 func (s *Service) newPool(name string, set logic.Settings, connections int, connect, stall, idle float64, streams int, wire func(caches.Link) caches.Wire) *pool {
 	p := &pool{s: s, name: name, onDemand: set.OnRequest, listed: map[uint64]bool{}, log: s.log}
-	// Where the list comes only when asked for, one service answers all routers; the waits are those of the module
-	// (logic.Listed). Elsewhere it is an agent beside the router, and a watch goes on within 0.2 s.
+	// Where the list comes only when asked for, one service answers all routers, and a call that it turns away costs it too:
+	// waits from a sixteenth of the time within which it wants to be asked left it full for longer than from a quarter.
+	// Elsewhere it is an agent beside the router, and a watch goes on within 0.2 s.
 	p.pace = pace.Pace{First: 0.1, Most: 0.1, Seed: set.Seed}
 	if set.OnRequest {
-		p.pace.First, p.pace.Most = max(0.1, set.AskWithin/16), max(set.AskWithin/2, 1)
+		p.pace.First, p.pace.Most = max(0.1, set.AskWithin/4), max(set.AskWithin/2, 1)
 	}
 	if name != "" {
 		p.log = s.log.With().Str("pool", name).Logger()
