--- a/internal/lab/cause.go
+++ b/internal/lab/cause.go
@@ -298,16 +298,23 @@
 	}
 	if f.Kind == "router-kill" {
 		w.until(f.At+f.For, halt)
+		for _, n := range hit { // all at once, as a release that went wrong
+			if !w.begun(n) {
+				return
+			}
+		}
 		for _, n := range hit {
-			if !w.again(n) {
+			if !w.awaited(n) {
 				return
 			}
 		}
 	}
 }
 
-// again starts a router anew: with nothing but the list as it last had it.
-func (w *world) again(n int) bool {
+func (w *world) again(n int) bool { return w.begun(n) && w.awaited(n) }
+
+// begun starts a router anew: with nothing but the list as it last had it.
+func (w *world) begun(n int) bool {
 	r := w.nodes[n]
 	r.mu.Lock()
 	r.conf["known"] = w.agents[0][n].Known()
@@ -317,7 +324,12 @@
 		return false
 	}
 	w.note("router %d starts again", n)
-	if err := r.ready(starting); err != nil {
+	return true
+}
+
+// awaited waits until it serves.
+func (w *world) awaited(n int) bool {
+	if err := w.nodes[n].ready(starting); err != nil {
 		w.fail(err)
 		return false
 	}
--- a/internal/lab/play.go
+++ b/internal/lab/play.go
@@ -141,6 +141,7 @@
 		f := standin.NewFleet(w.fleetOn, w.o.Seed+uint64(i)<<32, w.types, standin.LedgerSpec{AtOnce: s.Ledger.AtOnce,
 			Takes: s.Ledger.TakesMS / 1e3, Multiple: s.Ledger.Multiple, Time: s.Ledger.Within, Halt: s.Ledger.Halt},
 			standin.Delay{Base: s.List.Delay, Spread: s.List.Spread})
+		f.List().Bound(s.List.Calls)
 		w.fleets = append(w.fleets, f)
 		servers := s.Fleet.Servers
 		if i > 0 {
@@ -283,6 +284,11 @@
 			"trafficTypes": types, "tenants": []any{},
 		},
 	}
+	if s.List.Calls > 0 {
+		settings := conf["settings"].(map[string]any)
+		settings["discovery"] = "on_request"
+		settings["rules"].(map[string]any)["askWithin"] = ns(s.List.Within)
+	}
 	if len(peers) > 0 {
 		conf["peer_listen"], conf["peers"] = peers[n], peers
 	}
--- a/internal/lab/play_test.go
+++ b/internal/lab/play_test.go
@@ -69,6 +69,32 @@
 	}
 }
 
+// Most routers are killed at once while servers are replaced, and the list service cannot answer all that call: they serve
+// from their last list, of which a part has gone.
+func TestRulesAreKeptInAHerd(t *testing.T) {
+	t.Parallel()
+	text := strings.Replace(strings.Replace(short, "count = 2", "count = 8\npeers = true", 1), "spread = 0.1", "spread = 0.1\ncalls = 2\nwithin = 2", 1)
+	r := played(t, scenario(t, text+`
+[[fault]]
+kind = "deploy"
+target = "servers:3"
+at = 0.6
+for = 0.9
+drain = 0.5
+[[fault]]
+kind = "router-kill"
+target = "routers:70%"
+at = 1.2
+for = 0.4
+`), as(t, "logic"))
+	if r.Verdict != RulesKept {
+		t.Errorf("the verdict is %s, %v", r.Verdict, r.Breaches)
+	}
+	if r.Figures.Whole < 0.4 {
+		t.Errorf("%.2f of the benefit came in time", r.Figures.Whole)
+	}
+}
+
 // A baseline drives the same core and keeps the same plain rules.
 func TestBaselinesServe(t *testing.T) {
 	for _, name := range []string{"random", "least", "ring", "bounded", "rendezvous"} {
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -69,6 +69,8 @@
 type ListPart struct {
 	Delay  float64 `toml:"delay"`
 	Spread float64 `toml:"spread"`
+	Calls  float64 `toml:"calls"`  // that it takes a second from all routers together, which then have to ask it; 0: any number
+	Within float64 `toml:"within"` // seconds within which it wants to be asked, where it is bounded
 }
 
 // RoutersPart describes the routers.
@@ -170,7 +172,7 @@
 		Fleet: FleetPart{Servers: 6, Zones: 2, Cell: 3, Cores: 1, Speed: []float64{1, 1}, Queue: 400, PerConnection: 100,
 			Connections: 800, HandshakeMS: 0.5, Idle: 60, Keep: 400, Cancels: true, Filled: 0.2, ColdFrom: 0.35, Warm: 6},
 		Ledger:  LedgerPart{AtOnce: 16, TakesMS: 30, Multiple: 3, Within: 3, Halt: 3},
-		List:    ListPart{Delay: 0.3, Spread: 0.3},
+		List:    ListPart{Delay: 0.3, Spread: 0.3, Within: 10},
 		Routers: RoutersPart{Count: 2, Cores: 1, MemoryMB: 64, Sockets: 512},
 		Clients: ClientsPart{Rate: 200, Keys: 2000, Zipf: 0.9, Retries: 2, TryShare: 0.55, PauseMS: 20, Honour: 0.6,
 			Connections: "kept", Most: 120},
@@ -242,6 +244,7 @@
 	s.within("ledger.at_once", float64(s.Ledger.AtOnce), 1, 1e4)
 	s.above("ledger.takes_ms", s.Ledger.TakesMS, 0)
 	s.within("routers.count", float64(s.Routers.Count), 1, 100)
+	s.above("list.within", s.List.Within, 0)
 	s.above("routers.cores", s.Routers.Cores, 0)
 	s.within("routers.memory_mb", float64(s.Routers.MemoryMB), 32, 1e6)
 	s.within("routers.sockets", float64(s.Routers.Sockets), 64, 1e6)
--- a/internal/standin/list.go
+++ b/internal/standin/list.go
@@ -23,6 +23,36 @@
 	chance  *rand.Rand
 	changes []change // all of a run, the first has generation 1
 	agents  []*Agent
+
+	calls float64 // that it takes a second, from all routers together; 0: any number
+	until float64 // when it has answered all that it has taken
+}
+
+const (
+	patience  = 2.0   // seconds: a call that would wait longer for its turn is turned away
+	declining = 0.25  // of a call's time is what turning one away takes
+	goingOn   = 0.200 // seconds after its last answer a watch goes on and is no new call
+)
+
+// Bound makes it take so many calls a second; those that wait too long are turned away.
+func (l *List) Bound(calls float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.calls = calls
+}
+
+// take queues a call: it tells for how long, or that the call is turned away.
+func (l *List) take(now float64) (wait float64, taken bool) {
+	if l.calls <= 0 {
+		return 0, true
+	}
+	l.until = max(l.until, now)
+	if taken = l.until+1/l.calls-now <= patience; taken {
+		l.until += 1 / l.calls
+	} else {
+		l.until += declining / l.calls
+	}
+	return l.until - now, taken
 }
 
 type change struct {
@@ -81,6 +111,8 @@
 	visible []float64 // when it learns of each change
 	shown   map[string]Mode
 	told    []Told
+	known   int     // the generation that it last told
+	last    float64 // when
 	server  *http.Server
 	all     []*http.Server // also those that it has moved from
 	addr    string
@@ -98,6 +130,7 @@
 	for range l.changes {
 		a.visible = append(a.visible, 0)
 	}
+	a.known = len(l.changes)
 	l.agents = append(l.agents, a)
 	l.mu.Unlock()
 	return a, a.listen(addr)
@@ -178,6 +211,18 @@
 func (a *Agent) serve(w http.ResponseWriter, r *http.Request) {
 	from, asked := strconv.Atoi(r.URL.Query().Get("from"))
 	hold, _ := strconv.ParseFloat(r.URL.Query().Get("hold_ms"), 64)
+	a.l.mu.Lock()
+	now := a.l.now()
+	wait, taken := 0.0, true
+	if asked != nil || now-a.last > goingOn {
+		wait, taken = a.l.take(now)
+	}
+	a.l.mu.Unlock()
+	if !taken {
+		http.Error(w, "full", http.StatusServiceUnavailable)
+		return
+	}
+	time.Sleep(time.Duration(wait * float64(time.Second)))
 	until := a.l.now() + min(max(hold, 0), 60e3)/1e3
 	for {
 		a.l.mu.Lock()
@@ -212,6 +257,7 @@
 	w.(http.Flusher).Flush()
 	a.l.mu.Lock()
 	a.note(out)
+	a.known, a.last = out.Generation, a.l.now()
 	a.l.mu.Unlock()
 }
 
@@ -250,7 +296,11 @@
 func (a *Agent) Known() json.RawMessage {
 	a.l.mu.Lock()
 	defer a.l.mu.Unlock()
-	out := a.since(0, a.generation(), true)
+	newest := a.generation()
+	if a.l.calls > 0 {
+		newest = a.known // nobody else asks, so nothing later has come to the router's machine
+	}
+	out := a.since(0, newest, true)
 	body, _ := json.Marshal(out)
 	return body
 }
--- a/internal/standin/list_test.go
+++ b/internal/standin/list_test.go
@@ -115,3 +115,32 @@
 		g = next.Generation
 	}
 }
+
+// A service with a bound turns away who would wait too long, also by that; a watch that goes on is no new call.
+func TestBoundOfTheListService(t *testing.T) {
+	f, _ := running(t, spec("s-1"))
+	a, l := follow(t, f), f.list
+	l.Bound(4)
+	taken := 0
+	for range 20 {
+		if _, ok := l.take(100); ok {
+			taken++
+		}
+	}
+	if taken != 8 {
+		t.Errorf("it takes %d calls at once, want those of two seconds", taken)
+	}
+	if _, ok := l.take(100.9); ok {
+		t.Error("what it turned away took none of its time")
+	}
+	if wait, ok := l.take(105); !ok || wait != 0.25 {
+		t.Errorf("when it is idle again a call waits %v s", wait)
+	}
+	l.Bound(20)
+	l.until = 0
+	first := members(t, a, "")
+	before := l.until
+	if next := members(t, a, "?from=1&hold_ms=10"); first.Generation != 1 || next.Generation != 1 || l.until != before {
+		t.Errorf("a watch that goes on takes %v s of its time", l.until-before)
+	}
+}
