Send a key used often to the less loaded of two caches that share it

At fault: logic.go, choose (turn). Change: where words tell of load, two are drawn and the less loaded taken.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -233,7 +233,7 @@
 		if best != nil && p.far > far {
 			break
 		}
-		// A fresh cache gets a slice of the keys; one point's would follow its gap. Where nothing tells of its strain
+		// A fresh cache gets a slice of the keys; one point's would follow its gap. Where none tells of its strain
 		// it takes no part of what the warm ones shed (rule 4); where all tell, that left it idle as they jammed.
 		w, part := r.warmth(p.on), float64(mix(hash, p.on.ID))/(1<<32)
 		slow := float64(p.rank) >= math.Ceil(float64(p.on.points)*p.on.share)
@@ -272,7 +272,7 @@
 	}
 	// The ramp begins below twice the mean, since it moves parts: from 2, 1.4, 1 times 1.4 did best.
 	most := 1.4 * r.load * math.Exp((r.loadAt-r.now)/recall) / float64(len(r.ready))
-	load, part := s.load*math.Exp((s.loadAt-r.now)/recall), float64(mix(op.hash, s.ID))/(1<<32)
+	load, part := r.loaded(s), float64(mix(op.hash, s.ID))/(1<<32)
 	// One that takes several times as long as others has failed in all but name.
 	fast := math.Pow(min(1, 2.5/max(s.joint, 1e-9)), 4)
 	return load >= 2 && part > max(min(fast, most/load), 1.0/32)
@@ -335,6 +335,22 @@
 		sharing = append(sharing, s)
 		return len(sharing) > turn && free(s)
 	}
+	if op.spread > 1 && r.sparse(op.row) {
+		var of []*server
+		r.nearest(op.hash, func(s *server) bool {
+			if !slices.Contains(of, s) && fit(s) && free(s) {
+				of = append(of, s)
+			}
+			return len(of) >= int(op.spread)
+		})
+		if n := float64(len(of)); n > 0 { // the less loaded of two: all routers together would crowd the least
+			a, b := of[int(r.chance()*n)], of[int(r.chance()*n)]
+			if r.loaded(b) < r.loaded(a) {
+				return b
+			}
+			return a
+		}
+	}
 	best := func(s *server) bool { return fit(s) && !r.passed(op, s) }
 	for _, pass := range []func(*server) bool{shared, best, fit, may} {
 		if s := r.nearest(op.hash, pass); s != nil {
@@ -652,13 +668,16 @@
 	}
 }
 
+// loaded is what all routers told of a cache lately.
+func (r *Router) loaded(s *server) float64 { return s.load * math.Exp((s.loadAt-r.now)/recall) }
+
 const recall = 3 // seconds over which load is summed: with 1 more keys moved to and fro, and missed
 
 // weigh adds a word to what all routers have in flight, the number of executions times how long each was out,
 // and to how slow a cache is: over about a second, some dozens of words; where few come each weighs more.
 func (r *Router) weigh(s *server, took float64) {
 	r.load, r.loadAt = r.load*math.Exp((r.loadAt-r.now)/recall)+took, r.now
-	s.load = s.load*math.Exp((s.loadAt-r.now)/recall) + took
+	s.load = r.loaded(s) + took
 	s.joint += (took - s.joint) * min(max(1-math.Exp(s.loadAt-r.now), 1.0/32), 0.5)
 	s.loadAt = r.now
 }
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -738,3 +738,33 @@
 		t.Errorf("a slice of %d keys alone, %d where all tell, of %d", alone, told, whole)
 	}
 }
+
+// A key used often went to each cache that shares it alike, however loaded, as their share of it is not the half of theirs.
+func TestLessLoadedOfTwoTakesAKeyUsedOften(t *testing.T) {
+	r, _ := many(10)
+	op := &operation{row: r.rows["view"], hash: stir(5), worth: 1, spread: 2, due: 1, hardStop: 2}
+	taken := map[*server]int{}
+	for range 400 {
+		taken[r.choose(op, false)]++
+	}
+	expect(t, "caches that share it", len(taken), 2)
+	var some *server
+	for s, n := range taken {
+		if some = s; n < 150 {
+			t.Errorf("without words one takes %d of 400", n)
+		}
+	}
+	for id := range byte(10) { // no load that is passed over, but more than the other's
+		r.Told(0, []byte{id + 1, 0, 32})
+	}
+	r.weigh(some, 0.1)
+	for s := range taken {
+		taken[s] = 0
+	}
+	for range 400 {
+		taken[r.choose(op, false)]++
+	}
+	if n := taken[some]; n < 60 || n > 140 {
+		t.Errorf("the more loaded one takes %d of 400, want a quarter", n)
+	}
+}
