Let the longest idle connection make room where there are more servers than connections

Seen by a test at 300 servers and 20 connections, written because a fleet grows: from the 21st server on executions ended as NotSent, for ever. At fault: caches.go, dial, which opens none beyond the bound and closes none. Change: beyond the bound the connection that stood idle longest, at any server, is closed first.

--- a/internal/caches/caches.go
+++ b/internal/caches/caches.go
@@ -195,8 +195,7 @@
 // dial opens a connection for each attempt that waits, as far as the bounds allow.
 func (s *server) dial() {
 	f := s.f
-	for s.coming < len(s.waiting) && len(s.links) < max(1, f.limits.Connections/max(1, len(f.servers))) &&
-		f.links < f.limits.Connections {
+	for s.coming < len(s.waiting) && len(s.links) < max(1, f.limits.Connections/max(1, len(f.servers))) && f.room() {
 		l := &link{on: s}
 		l.wire = f.wire(l)
 		conn, err := f.loop.Dial(s.addr, l)
@@ -219,6 +218,25 @@
 	}
 }
 
+// room tells whether one more connection may be opened, and makes room by the one that has stood idle longest: with more
+// servers than connections, those that were asked first would keep the others from ever being asked.
+func (f *Fleet) room() bool {
+	if f.links < f.limits.Connections {
+		return true
+	}
+	var oldest *link
+	for _, s := range f.servers {
+		if len(s.idle) > 0 && (oldest == nil || s.idle[0].since < oldest.since) {
+			oldest = s.idle[0]
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	oldest.close()
+	return f.links < f.limits.Connections
+}
+
 // words tell in the log how an execution failed there.
 var words = map[logic.Outcome]string{logic.NoConnection: "no connection", logic.ConnectionLost: "connection lost",
 	logic.NoAnswer: "no answer", logic.Error: "an error"}
--- a/internal/caches/caches_test.go
+++ b/internal/caches/caches_test.go
@@ -450,3 +450,25 @@
 		}
 	})
 }
+
+// With more servers than connections, those that were asked first kept the rest from ever being asked.
+func TestMoreServersThanConnections(t *testing.T) {
+	limits := usual
+	limits.Connections = 20
+	f := serving(t, limits, func(conn net.Conn, _ string) { conn.Write([]byte("VA 0 Oa\r\n\r\n")) })
+	for id := uint64(1); id <= 300; id++ {
+		o := make(outcome, 1)
+		f.do(f.loop, func() {
+			f.Listed(id, f.servers[1].addr)
+			f.Execute(id, &router.Operation{Key: "k", ID: "a", Flags: "v Oa"}, 5, o)
+		})
+		if o.want(t, logic.Finished); t.Failed() {
+			t.Fatalf("at server %d", id)
+		}
+	}
+	f.do(f.loop, func() {
+		if f.links > limits.Connections || f.links < limits.Connections/2 {
+			t.Errorf("%d connections are kept, of %d", f.links, limits.Connections)
+		}
+	})
+}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -768,3 +768,38 @@
 		t.Errorf("the more loaded one takes %d of 400, want a quarter", n)
 	}
 }
+
+// Hundreds of routers and of caches: what they tell is kept in so many bytes, and what has gone is forgotten.
+func TestHundredsOfRoutersAndCachesStayBounded(t *testing.T) {
+	r, did := fleet(500, func(s *Settings) { s.Peers, s.Routers, s.Telling = true, 400, 0.01 })
+	for i := range 4000 {
+		now := float64(i) / 100
+		words := make([]byte, 0, messageSize)
+		for k := range 5 {
+			words = append(words, byte(i*7+k), byte(i%3), byte(16+i%200))
+		}
+		r.Told(now, words)
+		r.Arrived(now, uint64(i), "view", "", fmt.Sprint("key", i%700), false, 2)
+		r.Settled(now+0.005, uint64(i), 0, Finished, 0.005, true)
+	}
+	expect(t, "operations kept", len(r.ops), 0)
+	expect(t, "words waiting are at most a message", len(r.words) <= messageSize, true)
+	expect(t, "messages cost no more than half a hundredth", float64(countOf(did, "tell"))*16*399/256*0.01 <= 0.005*4000+26, true)
+	var gone []Member
+	for id := range uint64(400) {
+		gone = append(gone, Member{ID: id + 1, Mode: Gone})
+	}
+	r.Listed(41, Diff, gone)
+	expect(t, "caches kept", len(r.servers), 100)
+	r.Told(41, []byte{1, 0, 32, 1, 0, refused})
+	expect(t, "after words of one that has gone", len(r.servers), 100)
+}
+
+func countOf(did *notes, what string) (n int) {
+	for _, line := range did.did {
+		if len(line) >= len(what) && line[:len(what)] == what {
+			n++
+		}
+	}
+	return n
+}
