Bench a cache by a peer's refusal only while none finishes there

Read as a stranger: one router that is cut off from a cache, or meets its full table, told all others of each refusal, and they passed that cache over though it served them. It counts as one that took long while others finish.

--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -245,6 +245,7 @@
 	s.above("ledger.takes_ms", s.Ledger.TakesMS, 0)
 	s.within("routers.count", float64(s.Routers.Count), 1, 100)
 	s.above("list.within", s.List.Within, 0)
+	s.within("list.calls", s.List.Calls, 0, 1e6)
 	s.above("routers.cores", s.Routers.Cores, 0)
 	s.within("routers.memory_mb", float64(s.Routers.MemoryMB), 32, 1e6)
 	s.within("routers.sockets", float64(s.Routers.Sockets), 64, 1e6)
--- a/internal/service/pool.go
+++ b/internal/service/pool.go
@@ -73,8 +73,9 @@
 	w := &watch{addr: addr, stop: stop}
 	p.next = w
 	start := discovery.Start{Known: p.told, Pace: p.pace}
-	if p.watch == nil && p.told == 0 && len(p.known.Entries) > 0 { // what it has told before this start is known
+	if len(p.known.Entries) > 0 { // of the address that the start names: one named later may count its own way
 		start.Known, start.Same = p.known.Generation, true
+		p.known = discovery.List{}
 	}
 	p.pace.Seed++ // another's chance for the next
 	go discovery.Watch(ctx, addr, start, func(l discovery.List) {
--- a/internal/standin/list.go
+++ b/internal/standin/list.go
@@ -222,7 +222,11 @@
 		http.Error(w, "full", http.StatusServiceUnavailable)
 		return
 	}
-	time.Sleep(time.Duration(wait * float64(time.Second)))
+	select {
+	case <-r.Context().Done():
+		return
+	case <-time.After(time.Duration(wait * float64(time.Second))):
+	}
 	until := a.l.now() + min(max(hold, 0), 60e3)/1e3
 	for {
 		a.l.mu.Lock()
--- a/logic/host.go
+++ b/logic/host.go
@@ -197,6 +197,7 @@
 	slow, heard    float64 // recent time of an execution over the mean of its type, and when that changed
 	load, loadAt   float64 // times that all routers told of it lately, summed up, and when that was reckoned
 	joint          float64 // as slow, by what all routers tell
+	well           float64 // when peers last told of an execution that finished there
 	probed         float64 // when it last answered a probe in time
 	fails          int     // failures since the last success
 	until          float64 // passed over until then, after failures
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -659,7 +659,7 @@
 			case uint16(s.ID) != binary.LittleEndian.Uint16(words):
 			case r.set.Aside:
 				s.seem(now, took, 1.0/4, 4)
-			case words[2] == refused:
+			case words[2] == refused && now-s.well > r.longest: // one that is cut off must not bench it for all
 				s.fails, s.down, s.until = max(s.fails, 3), true, max(s.until, now+r.longest)
 			default:
 				r.weigh(s, took)
@@ -679,7 +679,9 @@
 	r.load, r.loadAt = r.load*math.Exp((r.loadAt-r.now)/recall)+took, r.now
 	s.load = r.loaded(s) + took
 	s.joint += (took - s.joint) * min(max(1-math.Exp(s.loadAt-r.now), 1.0/32), 0.5)
-	s.loadAt = r.now
+	if s.loadAt = r.now; took < 4 { // below what no answer takes
+		s.well = r.now
+	}
 }
 
 // further goes on after an execution without an answer, a miss at the origin, if the time left is enough.
