Say each answer of a large fleet in fewer tests, and show the start with a known list

Nothing failed where the known list or the pace of list calls was taken out of pool.go: a test now does. The others say the same in fewer lines.

--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -210,3 +210,37 @@
 	}
 	s.loop.Post(s.end)
 }
+
+// A start with a known list asks for what changed since, of the service that told it alone; and one that is full, which all
+// routers ask, it leaves time: calls each 0.1 s kept it full all day.
+func TestKnownListIsFollowedAndAFullServiceLeftTime(t *testing.T) {
+	calls := make(chan string, 1000)
+	full := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		calls <- r.URL.RawQuery
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	defer full.Close()
+	at := full.Listener.Addr().String()
+	text := strings.Replace(fmt.Sprintf(usual, "127.0.0.1:0", at), `"settings":{`, `"known":{"generation":7,"reset":true,"instances":[
+		{"instanceId":"s-1","hostPort":"127.0.0.1:1","lifecycle":"ready"}]},"settings":{"discovery":"on_request","rules":{"askWithin":4000000000},`, 1)
+	conf, err := config.Parse([]byte(text), func(string) string { return "" })
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := assemble(Setup{Platform: conf}, router.Logic, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	go s.loop.Run()
+	defer s.loop.Post(s.end)
+	if first := <-calls; first != "from=7&hold_ms=2000" {
+		t.Errorf("it asks first for %q", first)
+	}
+	if time.Sleep(400 * time.Millisecond); len(calls) > 0 { // the first wait is half a second at the least
+		t.Errorf("it called %d times more within 0.4 s", len(calls))
+	}
+	s.loop.Post(func() { s.platform.stop(); s.platform.follow("localhost" + at[strings.IndexByte(at, ':'):]) })
+	if next := <-calls; next != "" {
+		t.Errorf("at another address it asks first for %q", next)
+	}
+}
--- a/logic/helpers_test.go
+++ b/logic/helpers_test.go
@@ -55,6 +55,22 @@
 	return r, n0
 }
 
+// many starts one of 80 routers, which sees little of each cache; caches fetch.
+func many(n int) (*Router, *notes) {
+	return fleet(n, func(s *Settings) { s.Peers, s.Routers, s.Telling = true, 80, 0.01 })
+}
+
+// leaves is the part of a thousand keys that pass a cache over.
+func (r *Router) leaves(s *server) float64 {
+	n := 0
+	for key := range uint32(1000) {
+		if r.passed(&operation{row: r.rows["view"], hash: stir(key)}, s) {
+			n++
+		}
+	}
+	return float64(n) / 1000
+}
+
 // begun is an operation with one execution on s, or another server, settled as harmless or not, or still out.
 func begun(r *Router, kind string, s *server, out, harmless bool) *operation {
 	if s == nil {
