--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -677,9 +677,9 @@
 func TestCacheThatAllFindSlowKeepsFewKeys(t *testing.T) {
 	r, _ := many(10)
 	for i := range 400 {
-		r.Told(1, []byte{byte(i%10) + 1, 0, byte(32 + 180*(i%10/9))})
+		r.Told(1, []byte{byte(i%10) + 1, 0, byte(32 + 222*(i%10/9))})
 	}
-	if part := r.leaves(r.servers[10]); part < 0.9 || part == 1 {
+	if part := r.leaves(r.servers[10]); part < 0.9 || part > 0.98 {
 		t.Errorf("%v of its keys leave it", part)
 	}
 	r.Told(1.1, []byte{2, 0, refused})
