Take a live weight's largest value as the size, rank anew only where points move

Cause, from a trace of the list: it gives 3.5 and 1 while nothing is held, then size / (1 + held a core), and renews some 200 of 216 entries 1.3 times a second. 'live' was no size, so all had 16 points, and Listed called regroup for each update. Dropped: the lookup itself (orders are kept between updates), the parser (sheets are read once a process).

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -6,6 +6,8 @@
 
 var groups = map[string]logic.Group{"all": logic.All, "zone": logic.Zone}
 
+var weights = map[string]logic.Weights{"nominal": logic.Sizes, "rough": logic.Sizes, "live": logic.Live}
+
 // Settings reads the settings of an instance.
 func (o *Object) Settings() logic.Settings {
 	family, limits, rules, prices := o.Part("familyInfo"), o.Part("limits"), o.Part("rules"), o.Part("penalties")
@@ -15,7 +17,7 @@
 		Step:           o.Seconds("step"),
 		Ordered:        family.Flag("ordered"),
 		OnRequest:      o.Text("discovery") == "on_request",
-		HintsFixed:     o.Text("weights") == "nominal" || o.Text("weights") == "rough",
+		Weights:        weights[o.Text("weights")],
 		MostExecutions: int(limits.Number("mostExecutions")),
 		SecondCopies:   limits.Flag("secondCopies"),
 		Cancelling:     limits.Flag("cancelling"),
--- a/logic/host.go
+++ b/logic/host.go
@@ -81,6 +81,16 @@
 	Failed
 )
 
+// Weights tells what the list's weights mean.
+type Weights int
+
+// The meanings. What is not known counts as None.
+const (
+	None Weights = iota
+	Sizes
+	Live // the size over one more than the executions held a core, of some time before
+)
+
 // Member is one entry of the list of servers.
 type Member struct {
 	ID       uint64
@@ -120,7 +130,7 @@
 	Ordered        bool    // an execution waits for those sent to its server before it
 	OnRequest      bool    // the list comes only when asked for
 	Apart          bool    // each realm has further executions of its own
-	HintsFixed     bool    // Member.Capacity is a size, not a load
+	Weights        Weights // what Member.Capacity tells
 	MostExecutions int
 	SecondCopies   bool
 	Cancelling     bool
@@ -184,7 +194,8 @@
 // server is all that is known of one cache server, or of one server of the origin.
 type server struct {
 	Member
-	points         int // its places on the circle
+	size           float64 // the largest weight it had since it started
+	points         int     // its places on the circle
 	out            []*execution
 	share          float64 // part of its points that it answers for, less where it is slower than others
 	slow, heard    float64 // recent time of an execution over the mean of its type, and when that changed
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -141,27 +141,35 @@
 	if kind != Disk {
 		r.asked, r.wait = 0, 0
 	}
-	seen := map[*server]bool{}
+	seen, moved := map[*server]bool{}, false
 	for _, m := range members {
 		s := r.servers[m.ID]
 		if s == nil {
 			s = &server{}
 			r.servers[m.ID] = s
 		}
+		moved = moved || s.Mode != m.Mode || s.Started != m.Started
 		if m.Mode == InService && (m.Started > s.Started || s.Mode != InService) {
 			*s = server{share: 1, slow: 1, joint: 1, out: s.out, fresh: m.Started, filled: now,
 				budget: 1}
 		}
-		s.Member = m
+		size := m.Capacity
+		if r.set.Weights == Live {
+			size = max(size, s.size) // its weight when it held nothing; the weights of its work move no points
+		}
+		moved = moved || size != s.size
+		s.Member, s.size = m, size
 		seen[s] = true
 	}
 	for id, s := range r.servers {
 		if s.Mode == Gone || kind != Diff && !seen[s] {
-			s.Mode = Gone // what is out there still knows it; ever new ids must not pile up
+			s.Mode, moved = Gone, true // what is out there still knows it; ever new ids must not pile up
 			delete(r.servers, id)
 		}
 	}
-	r.regroup()
+	if moved {
+		r.regroup()
+	}
 }
 
 const places = 16 // points of the largest cache: one leaves shares to the gaps, 16 reach 1.5 times the mean
@@ -172,14 +180,14 @@
 	largest := 0.0
 	for _, s := range r.servers {
 		if s.Mode == InService {
-			r.ready, largest = append(r.ready, s), max(largest, s.Capacity)
+			r.ready, largest = append(r.ready, s), max(largest, s.size)
 		}
 	}
 	slices.SortFunc(r.ready, func(a, b *server) int { return cmp.Compare(a.ID, b.ID) })
 	for _, s := range r.ready {
 		s.points = places
-		if r.set.HintsFixed && largest > 0 {
-			s.points = max(1, int(math.Round(places*s.Capacity/largest)))
+		if r.set.Weights != None && largest > 0 {
+			s.points = max(1, int(math.Round(places*s.size/largest)))
 		}
 		for rank := range s.points {
 			r.points = append(r.points, point{on: s, at: mix(uint32(rank), s.ID) % slots, rank: rank})
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -632,3 +632,23 @@
 	expect(t, "words waiting are at most a message", len(r.words) <= messageSize, true)
 	expect(t, "messages are within what they may cost, and the first", float64(len(did.did)-1000) < 0.005*1000/(16*399/256.0*0.01)+5, true)
 }
+
+// Weights that fall with load moved no points, and an update of them alone ranked all anew (dar-scripts, full size: 172 us an event).
+func TestLiveWeightIsASizeOnlyWhenNothingIsHeld(t *testing.T) {
+	r, _ := fleet(0, func(s *Settings) { s.Weights = Live })
+	list := func(kind ListKind, weights ...float64) {
+		var all []Member
+		for i, w := range weights {
+			all = append(all, Member{ID: uint64(i + 1), Mode: InService, Capacity: w})
+		}
+		r.Listed(1, kind, all)
+	}
+	list(Snapshot, 4, 1)
+	expect(t, "points", fmt.Sprint(r.servers[1].points, r.servers[2].points), "16 4")
+	r.order(5, 1)
+	list(Diff, 0.1, 0.9)
+	expect(t, "points under load", fmt.Sprint(r.servers[1].points, r.servers[2].points), "16 4")
+	expect(t, "orders kept", len(r.orders[5]) > 0, true)
+	list(Diff, 4, 2)
+	expect(t, "points of one that was larger than seen", r.servers[2].points, 8)
+}
