--- a/logic/host.go
+++ b/logic/host.go
@@ -173,6 +173,7 @@
 	voice, spare float64             // messages that may be sent to them; further executions that may be made
 	purses       map[string]*float64 // the latter for each realm, where they are apart
 	flow, flowAt float64             // executions that caches finished a second, and when that was reckoned
+	lost, won    float64             // executions of late that failed, or were spared since they would, and that finished
 	taken        float64             // part of the operations of late that caches finished
 	timely       float64             // part of the executions of late that finished within the promised time
 	value        float64             // benefit for a second's execution, the mean of what was judged lately
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -184,16 +184,26 @@
 		}
 	}
 	slices.SortFunc(r.ready, func(a, b *server) int { return cmp.Compare(a.ID, b.ID) })
+	var ends [slots + 1]int // by counting, for a fleet that grows is ranked often: comparing took half of all time
+	all := make([]point, 0, places*len(r.ready))
 	for _, s := range r.ready {
 		s.points = places
 		if r.set.Weights != None && largest > 0 {
 			s.points = max(1, int(math.Round(places*s.size/largest)))
 		}
 		for rank := range s.points {
-			r.points = append(r.points, point{on: s, at: mix(uint32(rank), s.ID) % slots, rank: rank})
+			all = append(all, point{on: s, at: mix(uint32(rank), s.ID) % slots, rank: rank})
+			ends[all[len(all)-1].at+1]++
 		}
 	}
-	slices.SortStableFunc(r.points, func(p, q point) int { return cmp.Compare(p.at, q.at) })
+	for slot := range slots {
+		ends[slot+1] += ends[slot]
+	}
+	r.points = make([]point, len(all))
+	for _, p := range all {
+		r.points[ends[p.at]] = p
+		ends[p.at]++
+	}
 	clear(r.orders[:])
 }
 
@@ -416,13 +426,24 @@
 	*op.purse = min(*op.purse+0.1, 10) // a tenth more executions than operations at most: no storm of repeats
 	if s := r.choose(op); s == nil {
 		r.giveUp(op, NoServer)
-	} else if r.strained(op, s) {
+	} else if r.strained(op, s) || r.fruitless() {
 		r.giveUp(op, Strained)
 	} else {
 		r.execute(op, s)
 	}
 }
 
+// fruitless sheds by chance what finds no answer anyhow: where the origin fails, caches answer with errors, keep
+// nothing, and all that is sent keeps it failing. Half as much again may be sent as finished of late.
+func (r *Router) fruitless() bool {
+	r.lost, r.won = r.lost*(1-1.0/32), r.won*(1-1.0/32)
+	if r.chance()*(r.lost+r.won) < 1.5*r.won+1 {
+		return false
+	}
+	r.lost++
+	return true
+}
+
 // strained tells whether to shed an operation, for its server takes too long: first what brings little.
 func (r *Router) strained(op *operation, s *server) bool {
 	takes, bound := r.expect(op, s), op.due-r.now // all that is left: a try a router must not keep a jam alive
@@ -527,10 +548,14 @@
 		s.fails, s.down = 0, false
 		r.flow, r.flowAt = r.finishing()+1/max(1, r.set.WarmWithin), r.now
 		r.taken += (1 - r.taken) / 16
+		r.won++
 	case Error, TurnedAway, NoConnection, ConnectionLost, NoAnswer, Unknown:
 		if how == NoAnswer && lag < t.lag {
 			return // it had no time to answer
 		}
+		if how == Error || how == NoAnswer {
+			r.lost++
+		}
 		s.fails++
 		r.taken -= r.taken / 16
 		if s.down = s.down || how == NoConnection; s.down {
