Take what caches hold from live weights in the pass-over, and end lookups early

Seen: a router sends 4.4 operations a second to 236 caches, none has two in flight anywhere (most out at one server: 2), so the pass-over never acted, while the weights tell all routers what each cache holds. Where weights are live and this router sees little, load is size / weight - 1; the pass-over by parts and the less loaded of two, made for peers' words, take it from there. The lookup for the caches that share a key went on round the circle once it had all of them.

--- a/logic/host.go
+++ b/logic/host.go
@@ -169,6 +169,7 @@
 	heat, heated [slots]float64     // uses of a slot lately, and the count of uses when that was reckoned
 	uses, recent float64            // uses of all slots, and those that are lately
 	ops          map[uint64]*operation
+	flying       int                 // executions in flight
 	words        []byte              // for the peers
 	voice, spare float64             // messages that may be sent to them; further executions that may be made
 	purses       map[string]*float64 // the latter for each realm, where they are apart
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -159,6 +159,9 @@
 		}
 		moved = moved || size != s.size
 		s.Member, s.size = m, size
+		if r.set.Weights == Live && m.Capacity > 0 {
+			s.load, s.loadAt = size/m.Capacity-1, now
+		}
 		seen[s] = true
 	}
 	for id, s := range r.servers {
@@ -170,6 +173,12 @@
 	if moved {
 		r.regroup()
 	}
+	if r.set.Weights == Live {
+		r.load, r.loadAt = 0, now
+		for _, s := range r.ready {
+			r.load += r.loaded(s)
+		}
+	}
 }
 
 const places = 16 // points of the largest cache: one leaves shares to the gaps, 16 reach 1.5 times the mean
@@ -241,7 +250,7 @@
 	}
 	for i := range r.points {
 		if i == len(near) { // few lookups go beyond the first
-			near = r.order(hash%slots, max(16, 8*i))
+			near = r.order(hash%slots, max(16, 3*i))
 		}
 		p := near[i]
 		if best != nil && p.far > far {
@@ -264,17 +273,13 @@
 // crowded is the design's pass-over: more than twice the mean of this router's executions in flight per
 // cache, and at least two.
 func (r *Router) crowded(s *server) bool {
-	total := 0
-	for _, c := range r.ready {
-		total += len(c.out)
-	}
-	return len(s.out) >= 2 && len(s.out)*len(r.ready) > 2*total
+	return len(s.out) >= 2 && len(s.out)*len(r.ready) > 2*r.flying
 }
 
 // sparse tells that this router sees less than one execution a cache within the time for which it is
 // remembered (expect): of many routers none has two in flight anywhere, and what it learns alone is late.
 func (r *Router) sparse(t *row) bool {
-	return r.set.Peers && r.set.Routers > 1 && r.finishing()*8*t.PromisedTime < float64(len(r.ready))
+	return (r.set.Peers || r.set.Weights == Live) && r.set.Routers > 1 && r.finishing()*8*t.PromisedTime < float64(len(r.ready))
 }
 
 // passed is the pass-over by this router's own executions and, where it is sparse, by what all tell. As all
@@ -338,32 +343,26 @@
 	often := op.spread > 1 && op.worth == 1
 	free := func(s *server) bool { return !(often && s.fails == 0 && r.strained(op, s)) && !r.passed(op, s) }
 	var sharing []*server
-	turn := int(r.chance() * min(op.spread, float64(len(r.ready))))
-	shared := func(s *server) bool {
-		if slices.Contains(sharing, s) || len(sharing) >= int(op.spread) || !fit(s) {
-			return false
-		}
-		sharing = append(sharing, s)
-		return len(sharing) > turn && free(s)
-	}
-	if op.spread > 1 && r.sparse(op.row) {
-		var of []*server
-		r.nearest(op.hash, func(s *server) bool {
-			if !slices.Contains(of, s) && fit(s) && free(s) {
-				of = append(of, s)
-			}
-			return len(of) >= int(op.spread)
-		})
-		if n := float64(len(of)); n > 0 { // the less loaded of two: all routers together would crowd the least
-			a, b := of[int(r.chance()*n)], of[int(r.chance()*n)]
-			if r.loaded(b) < r.loaded(a) {
-				return b
-			}
-			return a
+	r.nearest(op.hash, func(s *server) bool {
+		if !slices.Contains(sharing, s) && fit(s) {
+			sharing = append(sharing, s)
+		}
+		return len(sharing) >= min(int(op.spread), len(r.ready)) // else a lookup walks the whole circle
+	})
+	turn := int(r.chance() * float64(len(sharing)))
+	if op.spread > 1 && r.sparse(op.row) { // the less loaded of two: all routers together would crowd the least
+		other := int(r.chance() * float64(len(sharing)))
+		if len(sharing) > 0 && r.loaded(sharing[other]) < r.loaded(sharing[turn]) {
+			turn = other
+		}
+	}
+	for _, s := range sharing[turn:] {
+		if free(s) {
+			return s
 		}
 	}
 	best := func(s *server) bool { return fit(s) && !r.passed(op, s) }
-	for _, pass := range []func(*server) bool{shared, best, fit, may} {
+	for _, pass := range []func(*server) bool{best, fit, may} {
 		if s := r.nearest(op.hash, pass); s != nil {
 			return s
 		}
@@ -500,6 +499,7 @@
 	e := &execution{of: op, on: s, n: len(op.executions), sent: r.now, out: true}
 	op.executions = append(op.executions, e)
 	s.out = append(s.out, e)
+	r.flying++
 	s.budget--
 	limit, latest := op.hardStop-r.now, op.due-op.row.lag-r.now
 	// It is cut off while one more execution still fits into the promised time, on a server that just failed.
@@ -528,6 +528,7 @@
 	}
 	e := op.executions[n]
 	e.out = false
+	r.flying--
 	e.harmless = how == TurnedAway || how == NoConnection || how == NotSent || how == NotStored
 	e.on.out = slices.DeleteFunc(e.on.out, func(x *execution) bool { return x == e })
 	r.learn(e, how, lag)
@@ -600,7 +601,7 @@
 // tell passes on to all peers how each execution went, as far as the price allows, and at once what is news of
 // a cache. What all move at once misses at the origin: words only by a router that would know nothing without.
 func (r *Router) tell(s *server, t *row, took, was float64) {
-	if !r.sparse(t) {
+	if !r.set.Peers || !r.sparse(t) {
 		return
 	}
 	r.words = append(binary.LittleEndian.AppendUint16(r.words, uint16(s.ID)), byte(took))
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -72,7 +72,7 @@
 	}{{1, 0, false}, {2, 0, true}, {2, 2, false}, {4, 4, false}, {5, 4, true}} {
 		r, _ := fleet(4, nil)
 		r.ready[0].out = make([]*execution, c.mine)
-		r.ready[1].out = make([]*execution, c.others)
+		r.flying = c.mine + c.others
 		expect(t, fmt.Sprint("crowded with ", c.mine, " and ", c.others), r.crowded(r.ready[0]), c.want)
 	}
 }
@@ -652,3 +652,30 @@
 	list(Diff, 4, 2)
 	expect(t, "points of one that was larger than seen", r.servers[2].points, 8)
 }
+
+// At 600 routers none has two in flight at a cache; the list's weights tell what it holds (dar-scripts, busy days).
+func TestPassOverByLiveWeights(t *testing.T) {
+	r, _ := fleet(0, func(s *Settings) { s.Weights, s.Routers = Live, 600 })
+	for _, weight := range []float64{1, 0.1} { // nothing held, then nine at the first
+		all := []Member{{ID: 1, Mode: InService, Capacity: weight}}
+		for id := range uint64(9) {
+			all = append(all, Member{ID: id + 2, Mode: InService, Capacity: 1})
+		}
+		r.Listed(1, Snapshot, all)
+	}
+	part := r.leaves(r.servers[1])
+	expect(t, "most keys leave, some stay", part > 0.7 && part < 0.99, true)
+	expect(t, "none leaves another", r.leaves(r.servers[2]), 0.0)
+	r.now += 20 * recall
+	expect(t, "none leaves once the weights are old", r.leaves(r.servers[1]), 0.0)
+}
+
+// A lookup for a key's one cache, passed over, went round the whole circle (dar-scripts, big-1: 160 us an event).
+func TestLookupStaysNear(t *testing.T) {
+	r, _ := fleet(270, func(s *Settings) { s.Weights, s.Routers = Live, 600 })
+	op := &operation{row: r.rows["view"], hash: 5, spread: 1, worth: 1, hardStop: 9}
+	home := r.choose(op)
+	home.out, r.flying = make([]*execution, 9), 9
+	r.choose(op)
+	expect(t, "points ranked for a lookup past one", len(r.orders[5]) <= 64, true)
+}
