--- a/logic/host.go
+++ b/logic/host.go
@@ -202,6 +202,7 @@
 	share          float64 // part of its points that it answers for, less where it is slower than others
 	slow, heard    float64 // recent time of an execution over the mean of its type, and when that changed
 	load, loadAt   float64 // times that all routers told of it lately, summed up, and when that was reckoned
+	usual          float64 // what it held over some seconds, by live weights
 	joint          float64 // as slow, by what all routers tell
 	well           float64 // when peers last told of an execution that finished there
 	fails          int     // failures since the last success
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -174,10 +174,21 @@
 		r.regroup()
 	}
 	if r.set.Weights == Live {
-		r.load, r.loadAt = 0, now
-		for _, s := range r.ready {
-			r.load += r.loaded(s)
-		}
+		r.even(min(now-r.loadAt, 1))
+	}
+}
+
+// even adds up what all caches hold, and moves the part of its points that each answers for: gently, for the keys
+// that move miss, and by what it held over some four seconds, for one look says little. All routers see the same.
+func (r *Router) even(passed float64) {
+	r.load, r.loadAt = 0, r.now
+	for _, s := range r.ready {
+		r.load += r.loaded(s)
+	}
+	for _, s := range r.ready {
+		s.usual += (r.loaded(s) - s.usual) * passed / 4
+		over := s.usual*float64(len(r.ready))/max(r.load, 1) - 1
+		s.share = min(max(s.share*(1-passed/8*min(over, 1)), 0.25), 1)
 	}
 }
 
@@ -259,7 +270,7 @@
 		// A fresh cache gets a slice of the keys; one point's would follow its gap. Where none tells of its strain
 		// it takes no part of what the warm ones shed (rule 4); where all tell, that left it idle as they jammed.
 		w, part := r.warmth(p.on), float64(mix(hash, p.on.ID))/(1<<32)
-		slow := float64(p.rank) >= math.Ceil(float64(p.on.points)*p.on.share)
+		slow := float64(p.rank)+part >= float64(p.on.points)*p.on.share
 		if w < 1 && part >= w*taken || slow || !pass(p.on) {
 			continue
 		}
