Read what tells the shapes of a deployment apart, and refuse a mix of them at start

settings.weights (live among them), loadInfo, familyInfo.mode and discovery are checked, a fault names the key, its value and what would be right; peers beside live weights, reports on probes that are barred, reports without names or with an unknown one, peers listed where the settings say there are none are refused by check, at start and at SIGHUP. The log says at start that reports are not to be had on this protocol.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -25,6 +25,7 @@
 	Peers                   []string
 	Known                   discovery.List
 	Settings                logic.Settings
+	Reports                 Reports // of load; the platform's protocol carries none with answers
 	ConnectTimeout          float64
 	ConnIdle                float64
 	PerConnection           int
@@ -119,6 +120,7 @@
 		set.Fault("trafficTypes", "none")
 	}
 	c.Settings.Seed = seed(o)
+	shape(o, set, &c)
 	bounds := set.Part("limits")
 	c.ConnectTimeout = positive(bounds, "connectTimeout", 1e9) / 1e9
 	c.ConnIdle = positive(bounds, "connIdle", 60e9) / 1e9
@@ -139,7 +141,7 @@
 		"peer_listen": c.PeerListen == next.PeerListen, "peers_all": c.PeersAll == next.PeersAll,
 		"peers": slices.Equal(c.Peers, next.Peers),
 		"settings": reflect.DeepEqual(now, then) && c.ConnectTimeout == next.ConnectTimeout &&
-			c.ConnIdle == next.ConnIdle && c.PerConnection == next.PerConnection && c.OpenCap == next.OpenCap,
+			reflect.DeepEqual(c.Reports, next.Reports) && c.ConnIdle == next.ConnIdle && c.PerConnection == next.PerConnection && c.OpenCap == next.OpenCap,
 	} {
 		if !same {
 			keys = append(keys, key)
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -1,8 +1,11 @@
 package config
 
 import (
+	"os"
 	"strings"
 	"testing"
+
+	"bendtrestle/logic"
 )
 
 const whole = `{"name":"n3","listen":"127.0.0.4:11211","discovery":"127.2.0.1:8500","seed":"8c1f30d27a5be964",
@@ -63,6 +66,19 @@
 	}
 }
 
+// Both shapes of a deployment are whole configurations.
+func TestExamples(t *testing.T) {
+	for file, want := range map[string]logic.Weights{"config.json": logic.Sizes, "config-live.json": logic.Live} {
+		text, err := os.ReadFile("../../examples/" + file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if c, err := Parse(text, env); err != nil || c.Settings.Weights != want {
+			t.Errorf("%s: weights %v, %v", file, c.Settings.Weights, err)
+		}
+	}
+}
+
 // A message names the faulty key.
 func TestFaults(t *testing.T) {
 	for _, c := range []struct{ old, new, want string }{
@@ -78,6 +94,16 @@
 		{`"settings"`, `"setting"`, "settings: not an object"},
 		{`"hardStop":750000000`, `"hardStop":"soon"`, "settings: trafficTypes: hardStop: not a number"},
 		{`"trafficTypes":[{"name":"t","hardStop":750000000}]`, `"trafficTypes":[]`, "settings: trafficTypes: none"},
+		{`"settings":{`, `"settings":{"familyInfo":{"mode":"aside"},`, `settings: familyInfo: mode: "aside" is none of through`},
+		{`"settings":{`, `"settings":{"weights":"heavy",`, `settings: weights: "heavy" is none of off, nominal, rough, live`},
+		{`"settings":{`, `"settings":{"discovery":"asked",`, `settings: discovery: "asked" is none of pushed, on_request`},
+		{`"settings":{`, `"settings":{"loadInfo":{"how":"often"},`, `settings: loadInfo: how: "often" is none of off, inline, on_probe`},
+		{`"settings":{`, `"settings":{"loadInfo":{"how":"inline"},`, `settings: loadInfo: names: 0 of them, but how is "inline"`},
+		{`"settings":{`, `"settings":{"loadInfo":{"names":["depth"]},`, `settings: loadInfo: names: ["depth"], but how is "off"`},
+		{`"settings":{`, `"settings":{"loadInfo":{"how":"inline","names":["qqs"]},`, `settings: loadInfo: names: "qqs" is none of concurrent`},
+		{`"settings":{`, `"settings":{"loadInfo":{"how":"on_probe","names":["depth"]},`, `settings: loadInfo: how: "on_probe", but settings.limits.probes is false`},
+		{`"limits":{"connIdle"`, `"weights":"live","limits":{"peers":true,"connIdle"`, `settings: limits: peers: true, but settings.weights is "live"`},
+		{`"limits":{"connIdle"`, `"limits":{"peers":false,"connIdle"`, `peers`},
 		{`"connectTimeout":75000000`, `"connectTimeout":-1`, "settings: limits: connectTimeout: not above 0"},
 	} {
 		text := strings.Replace(whole, c.old, c.new, 1)
--- a/internal/config/describe.go
+++ b/internal/config/describe.go
@@ -45,6 +45,9 @@
 	say("seed", "/seed", "the process's number", "%08x", c.Settings.Seed)
 	s, limits, rules := c.Settings, "/settings/limits/", "/settings/rules/"
 	say("settings.fleetSize", "/settings/fleetSize", "default", "%d", s.Routers)
+	say("settings.weights", "/settings/weights", "default", "%s", [...]string{"say nothing", "sizes", "sizes less what is held"}[s.Weights])
+	say("settings.loadInfo", "/settings/loadInfo", "default", "%v", c.Reports)
+	say("settings.familyInfo.ordered", "/settings/familyInfo/ordered", "default", "%v", s.Ordered)
 	say("settings.limits.connectTimeout", limits+"connectTimeout", "default", "%v s", c.ConnectTimeout)
 	say("settings.limits.connIdle", limits+"connIdle", "default", "%v s", c.ConnIdle)
 	say("settings.limits.streamsPerConn", limits+"streamsPerConn", "default", "%d", c.PerConnection)
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -134,6 +134,9 @@
 		listeners: map[string]*sock.Listener{}, tiles: map[string]*tilefront.Server{}, seen: map[string]uint64{}}, &conf
 	s.log.Info().Str("name", c.Name).Str("listen", c.Listen).Int("clients", c.Clients).Int("caches", c.Caches).
 		Int("open", c.Open).Msg("starting")
+	if c.Reports.How != "off" {
+		s.log.Info().Stringer("loadInfo", c.Reports).Msg("reports of load are not to be had on this protocol: own counts and the list's weights decide")
+	}
 	if (c.Settings.Peers || len(set.Operators.Teams) > 0) && c.PeerListen != "" {
 		heard := func(words []byte) { s.loop.Post(func() { s.heard(words) }) }
 		s.peers, err = peers.Open(c.PeerListen, c.PeersAll, c.Peers, c.Settings.Me, heard, s.log)
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -244,3 +244,45 @@
 		t.Errorf("at another address it asks first for %q", next)
 	}
 }
+
+// One build serves both shapes of a deployment, which the settings alone tell apart, and refuses a mix of them.
+func TestBothShapes(t *testing.T) {
+	old := `"weights":"nominal","limits":{"peers":true,"probes":true,"mostExecutions":3},`
+	live := `"weights":"live","loadInfo":{"how":"inline","names":["tps","concurrent"]},"limits":{"peers":false,"mostExecutions":4},`
+	for name, c := range map[string]struct{ settings, fault string }{
+		"old": {old, ""}, "live": {live, ""},
+		"mixed": {strings.Replace(live, `"peers":false`, `"peers":true`, 1), "settings: limits: peers: true, but"},
+	} {
+		free, _ := net.Listen("tcp", "127.0.0.1:0")
+		addr := free.Addr().String()
+		free.Close()
+		text := strings.Replace(fmt.Sprintf(usual, addr, fleet(t, 0)), `"limits":{"mostExecutions":3},`, c.settings, 1)
+		conf, err := config.Parse([]byte(text), func(string) string { return "" })
+		if c.fault != "" {
+			if err == nil || !strings.Contains(err.Error(), c.fault) {
+				t.Errorf("%s: refused with %v", name, err)
+			}
+			continue
+		}
+		if err != nil {
+			t.Fatalf("%s: %v", name, err)
+		}
+		var log strings.Builder
+		s, err := assemble(Setup{Platform: conf}, router.Logic, zerolog.New(&log))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if told := strings.Contains(log.String(), "reports of load are not to be had"); told != (name == "live") {
+			t.Errorf("%s: said of reports: %v", name, told)
+		}
+		s.log = zerolog.Nop()
+		go s.loop.Run()
+		for i := 0; ask(addr, "mn") != "MN" && i < 500; i++ {
+			time.Sleep(10 * time.Millisecond)
+		}
+		if got := ask(addr, read); got != "VA 2 Oa1" {
+			t.Errorf("%s: it answers %q", name, got)
+		}
+		s.loop.Post(s.end)
+	}
+}
