--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -25,7 +25,6 @@
 		OverBenefit:    o.Number("overageBenefit"),
 		Probes:         limits.Flag("probes"),
 		Peers:          limits.Flag("peers"),
-		Probing:        prices.Number("probe"),
 		Telling:        prices.Number("peer"),
 		AskWithin:      rules.Seconds("askWithin"),
 		Fall:           rules.Seconds("fall"),
--- a/logic/host.go
+++ b/logic/host.go
@@ -139,7 +139,6 @@
 	AskWithin      float64
 	Probes         bool    // servers may be probed
 	Peers          bool    // peers may be told
-	Probing        float64 // price of a probe for each operation
 	Telling        float64 // price of a message of 256 bytes for each operation
 	Fall           float64
 	TipMultiple    float64
