--- a/logic/helpers_test.go
+++ b/logic/helpers_test.go
@@ -56,6 +56,20 @@
 	return fleet(n, func(s *Settings) { s.Peers, s.Routers, s.Telling = true, 80, 0.01 })
 }
 
+// weighed starts one of 600 routers, of caches with these live weights.
+func weighed(seed uint32, weights ...float64) (*Router, *notes) {
+	r, did := fleet(0, func(s *Settings) { s.Seed, s.Routers, s.Weights, s.StartCapacity = seed, 600, Live, 0.17 })
+	r.Listed(0, Snapshot, members(weights...))
+	return r, did
+}
+
+func members(weights ...float64) (all []Member) {
+	for i, w := range weights {
+		all = append(all, Member{ID: uint64(i + 1), Mode: InService, Capacity: w})
+	}
+	return all
+}
+
 // leaves is the part of a thousand keys that pass a cache over.
 func (r *Router) leaves(s *server) float64 {
 	n := 0
