--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -439,6 +439,16 @@
 	return known
 }
 
+// Kinds names the traffic types of all contracts, as clients do.
+func (b *Broker) Kinds() (all []string) {
+	for _, t := range b.teams {
+		for _, k := range t.Types {
+			all = append(all, k.Name)
+		}
+	}
+	return all
+}
+
 // Has tells whether there is such a team.
 func (b *Broker) Has(team string) bool { return b.teams[team] != nil }
 
--- a/internal/caches/caches.go
+++ b/internal/caches/caches.go
@@ -30,6 +30,7 @@
 	wire    func(Link) Wire
 	servers map[uint64]*server
 	links   int // of all servers
+	sends   uint64
 	closed  bool
 }
 
@@ -52,6 +53,9 @@
 	return f
 }
 
+// Sends counts the executions whose last byte the kernel has taken, since the start.
+func (f *Fleet) Sends() uint64 { return f.sends }
+
 // Limit sets how many connections there may be from now on; those beyond it are not closed.
 func (f *Fleet) Limit(connections int) { f.limits.Connections = connections }
 
--- a/internal/caches/caches_test.go
+++ b/internal/caches/caches_test.go
@@ -471,3 +471,27 @@
 		}
 	})
 }
+
+// An execution counts as sent once all of it was handed over, and a probe never.
+func TestSends(t *testing.T) {
+	f := serving(t, usual, func(conn net.Conn, line string) {
+		if line == "mn\r\n" {
+			conn.Write([]byte("MN\r\n"))
+		} else {
+			conn.Write([]byte("VA 0 Oa\r\n\r\n"))
+		}
+	})
+	for range 3 {
+		o, _ := f.execute(2)
+		o.want(t, logic.Finished)
+	}
+	probed := make(outcome, 1)
+	f.do(f.loop, func() { f.Probe(1, func(how logic.Outcome) { probed <- how }) })
+	probed.want(t, logic.Finished)
+	f.do(f.loop, func() { f.Execute(2, &router.Operation{ID: "b"}, 1, make(outcome, 1)) }) // unknown: nothing is sent
+	f.do(f.loop, func() {
+		if f.Sends() != 3 {
+			t.Errorf("%d are counted as sent, want 3", f.Sends())
+		}
+	})
+}
--- a/internal/caches/link.go
+++ b/internal/caches/link.go
@@ -1,6 +1,7 @@
 package caches
 
 import (
+	"math"
 	"slices"
 
 	"bendtrestle/internal/router"
@@ -17,6 +18,7 @@
 	timer *sock.Timer
 	link  *link  // nil while it waits for one
 	end   uint64 // where its last byte stands in what its connection is sent
+	sent  bool   // it is counted as written
 	done  bool
 }
 
@@ -33,6 +35,14 @@
 // written tells whether its last byte was: else it never ran.
 func (a *attempt) written() bool { return a.link != nil && a.link.conn.Sent() >= a.end }
 
+// count counts it once it is written.
+func (a *attempt) count() {
+	if !a.sent && a.op != nil && a.written() {
+		a.sent = true
+		a.on.f.sends++
+	}
+}
+
 // overdue gives it up at its limit.
 func (a *attempt) overdue() {
 	if a.written() {
@@ -85,12 +95,13 @@
 	if i := slices.Index(s.idle, l); i >= 0 {
 		s.idle = slices.Delete(s.idle, i, i+1)
 	}
-	a.link = l
+	a.link, a.end = l, math.MaxUint64
 	l.queue = append(l.queue, a)
 	for _, p := range l.wire.Command(a.op, a.until-s.f.loop.Now()) {
 		l.write(p)
 	}
 	a.end = l.length
+	a.count()
 }
 
 func (l *link) write(p []byte) {
@@ -101,6 +112,15 @@
 
 // Flushed fills the connection's buffer with what waits.
 func (l *link) Flushed() {
+	l.fill()
+	for _, a := range l.queue {
+		if a.count(); !a.sent && a.op != nil {
+			break // nor are those behind it
+		}
+	}
+}
+
+func (l *link) fill() {
 	for len(l.rest) > 0 {
 		n := l.conn.Write(l.rest[0])
 		if l.rest[0] = l.rest[0][n:]; len(l.rest[0]) > 0 {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -22,6 +22,7 @@
 	Cores                   float64
 	Memory, Sockets         int // bytes, descriptors
 	PeerListen, PeersAll    string
+	Ops                     string // the operators' door; empty: none
 	Peers                   []string
 	Known                   discovery.List
 	Settings                logic.Settings
@@ -93,11 +94,12 @@
 	}
 	c := Config{Name: told("name", "GW_NAME"), Listen: told("listen", "GW_LISTEN"),
 		Discovery: told("discovery", "GW_DISCOVERY"), PeerListen: o.Text("peer_listen"), PeersAll: o.Text("peers_all"),
-		Peers: o.Texts("peers")}
+		Peers: o.Texts("peers"), Ops: told("ops", "GW_OPS")}
 	address(o, "listen", c.Listen, true)
 	address(o, "discovery", c.Discovery, true)
 	address(o, "peer_listen", c.PeerListen, false)
 	address(o, "peers_all", c.PeersAll, false)
+	address(o, "ops", c.Ops, false)
 	for _, peer := range c.Peers {
 		address(o, "peers", peer, true)
 	}
@@ -137,8 +139,8 @@
 	then.Seed = now.Seed
 	for key, same := range map[string]bool{
 		"name": c.Name == next.Name, "listen": c.Listen == next.Listen,
-		"limits":      c.Cores == next.Cores && c.Memory == next.Memory && c.Sockets == next.Sockets,
-		"peer_listen": c.PeerListen == next.PeerListen, "peers_all": c.PeersAll == next.PeersAll,
+		"limits": c.Cores == next.Cores && c.Memory == next.Memory && c.Sockets == next.Sockets,
+		"ops":    c.Ops == next.Ops, "peer_listen": c.PeerListen == next.PeerListen, "peers_all": c.PeersAll == next.PeersAll,
 		"peers": slices.Equal(c.Peers, next.Peers),
 		"settings": reflect.DeepEqual(now, then) && c.ConnectTimeout == next.ConnectTimeout &&
 			reflect.DeepEqual(c.Reports, next.Reports) && c.ConnIdle == next.ConnIdle && c.PerConnection == next.PerConnection && c.OpenCap == next.OpenCap,
@@ -151,12 +153,19 @@
 	return keys
 }
 
+// OpsPlaces is how many callers the operators' door has at once: several times the dashboards and people that look at one
+// router.
+const OpsPlaces = 24
+
 // derive splits the limits. Of the descriptors 32 are for the list service, standard files, the loop and what is
-// about to be closed; of the others half go to clients, a sixteenth of that to clients that are declined, three
+// about to be closed, and with an operators' door its callers' places and one that is about to be declined; of the others half go to clients, a sixteenth of that to clients that are declined, three
 // eighths to caches. Values are bounded apart, by an eighth of the memory for clients and by the connections to
 // caches; an open operation without them holds some 4 KiB, and all may fill a sixteenth of the memory.
 func (c *Config) derive() {
 	sockets := c.Sockets - 32
+	if c.Ops != "" {
+		sockets = max(32, sockets-OpsPlaces-2)
+	}
 	c.Clients = sockets / 2
 	c.Spare = max(1, c.Clients/16)
 	c.Caches = sockets * 3 / 8
--- a/internal/config/describe.go
+++ b/internal/config/describe.go
@@ -35,6 +35,7 @@
 	say("name", "/name", "GW_NAME", "%s", c.Name)
 	say("listen", "/listen", "GW_LISTEN", "%s", c.Listen)
 	say("discovery", "/discovery", "GW_DISCOVERY", "%s", c.Discovery)
+	say("ops", "/ops", "GW_OPS", "%s", orNone(c.Ops))
 	say("limits.cores", "/limits/cores", "default", "%v", c.Cores)
 	say("limits.memory_mb", "/limits/memory_mb", "default", "%d", c.Memory>>20)
 	say("limits.sockets", "/limits/sockets", "default", "%d", c.Sockets)
--- /dev/null
+++ b/internal/control/control.go
@@ -0,0 +1,177 @@
+// Package control is the operators' door: HTTP/1.1, one call to a connection, on goroutines of its own, so that a busy loop and
+// callers that never finish a call keep nobody waiting.
+package control
+
+import (
+	"context"
+	"fmt"
+	"io"
+	stdlog "log"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+const (
+	headBound = 4 << 10
+	whole     = 5 * time.Second // for a call to come whole, and for its answer to be read
+	again     = 200 * time.Millisecond
+)
+
+// Router is what the door needs. Its methods may be called from any goroutine, and return within a second.
+type Router interface {
+	Ready() bool
+	Figures() []byte
+}
+
+// Door is one open door.
+type Door struct {
+	server *http.Server
+	addr   string
+	places int
+	log    zerolog.Logger
+	ended  chan struct{}
+	once   sync.Once
+}
+
+// Open listens at an address, for so many callers at once. Where another process holds it, as while one version follows another, it is tried until it is free.
+func Open(addr string, places int, r Router, log zerolog.Logger) *Door {
+	d := &Door{addr: addr, places: places, log: log, ended: make(chan struct{})}
+	d.server = &http.Server{Handler: handler(r), ReadTimeout: whole, WriteTimeout: whole, MaxHeaderBytes: headBound,
+		ErrorLog:    stdlog.New(io.Discard, "", 0),
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, callerKey{}, c) }}
+	d.server.SetKeepAlivesEnabled(false)
+	ln, err := net.Listen("tcp", addr)
+	if err == nil {
+		go d.serve(ln)
+		return d
+	}
+	log.Warn().Err(err).Str("ops", addr).Msg("the operators' door cannot be opened yet; it is tried again")
+	go func() {
+		for ; err != nil; ln, err = net.Listen("tcp", addr) {
+			select {
+			case <-d.ended:
+				return
+			case <-time.After(again):
+			}
+		}
+		log.Info().Str("ops", addr).Msg("the operators' door is open")
+		d.serve(ln)
+	}()
+	return d
+}
+
+func (d *Door) serve(ln net.Listener) {
+	select {
+	case <-d.ended:
+		ln.Close()
+	default:
+		d.server.Serve(&gate{Listener: ln, places: d.places})
+	}
+}
+
+// Close ends the door and its callers' connections.
+func (d *Door) Close() {
+	d.once.Do(func() { close(d.ended) })
+	d.server.Close()
+}
+
+// gate bounds the callers.
+type gate struct {
+	net.Listener
+	places  int
+	mu      sync.Mutex
+	callers []*caller // by the time they came
+}
+
+type callerKey struct{}
+
+// caller is one connection.
+type caller struct {
+	net.Conn
+	g     *gate
+	whole atomic.Bool // its call has come
+}
+
+// Accept takes a connection. With all places taken the one that has said no whole call for longest makes room.
+func (g *gate) Accept() (net.Conn, error) {
+	for {
+		conn, err := g.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c := &caller{Conn: conn, g: g}
+		if g.admit(c) {
+			return c, nil
+		}
+		conn.Close()
+	}
+}
+
+func (g *gate) admit(c *caller) bool {
+	g.mu.Lock()
+	var oldest *caller
+	full := len(g.callers) >= g.places
+	for _, other := range g.callers {
+		if full && !other.whole.Load() {
+			oldest = other
+			break
+		}
+	}
+	if !full || oldest != nil {
+		g.callers = append(g.callers, c)
+	}
+	g.mu.Unlock()
+	if oldest != nil {
+		oldest.Close()
+	}
+	return !full || oldest != nil
+}
+
+// Close gives the place back.
+func (c *caller) Close() error {
+	c.g.mu.Lock()
+	for i, other := range c.g.callers {
+		if other == c {
+			c.g.callers = append(c.g.callers[:i], c.g.callers[i+1:]...)
+			break
+		}
+	}
+	c.g.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// came notes that a call is whole.
+func came(r *http.Request) {
+	if c, ok := r.Context().Value(callerKey{}).(*caller); ok {
+		c.whole.Store(true)
+	}
+}
+
+func handler(r Router) http.Handler {
+	m := http.NewServeMux()
+	m.HandleFunc("GET /ready", func(w http.ResponseWriter, q *http.Request) {
+		came(q)
+		if !r.Ready() {
+			say(w, http.StatusServiceUnavailable, "no: clients are not taken")
+			return
+		}
+		say(w, http.StatusOK, "yes")
+	})
+	m.HandleFunc("GET /metrics", func(w http.ResponseWriter, q *http.Request) {
+		came(q)
+		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		w.Write(r.Figures())
+	})
+	return m
+}
+
+func say(w http.ResponseWriter, status int, text string) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.WriteHeader(status)
+	fmt.Fprintln(w, text)
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -49,8 +49,10 @@
 	desk    router.Desk
 	limits  Limits
 	clients map[*Client]bool
-	ready   bool // mn is answered MN
-	leaving bool // connections are closed as they become idle
+	tallies map[string]*Tally // by the traffic type that clients name
+	open    int               // operations taken and not ended
+	ready   bool              // mn is answered MN
+	leaving bool              // connections are closed as they become idle
 	salt    maphash.Seed
 	ids     [recent]struct {
 		hash  uint64
@@ -58,9 +60,33 @@
 	}
 }
 
+// Tally is how operations of a traffic type ended: answered with what a server made, deferred to another try, errored. What a
+// client left before its answer is in none.
+type Tally struct{ Answered, Deferred, Errored uint64 }
+
+// end is how an operation's answer counts.
+type end int
+
+const (
+	answered end = iota
+	deferred
+	errored
+)
+
+func (t *Tally) count(how end) {
+	switch how {
+	case answered:
+		t.Answered++
+	case deferred:
+		t.Deferred++
+	case errored:
+		t.Errored++
+	}
+}
+
 // New makes a front without clients.
 func New(loop *sock.Loop, desk router.Desk, limits Limits) *Front {
-	f := &Front{loop: loop, desk: desk, limits: limits, clients: map[*Client]bool{}, salt: maphash.MakeSeed()}
+	f := &Front{loop: loop, desk: desk, limits: limits, clients: map[*Client]bool{}, tallies: map[string]*Tally{}, salt: maphash.MakeSeed()}
 	f.sweep()
 	return f
 }
@@ -110,6 +136,17 @@
 	}
 }
 
+// Tally tells how operations of a traffic type ended since the start.
+func (f *Front) Tally(kind string) Tally {
+	if t := f.tallies[kind]; t != nil {
+		return *t
+	}
+	return Tally{}
+}
+
+// Open is how many operations were taken and have not ended: their last byte has not left.
+func (f *Front) Open() int { return f.open }
+
 // Clients is how many are connected.
 func (f *Front) Clients() int { return len(f.clients) }
 
@@ -173,10 +210,11 @@
 	ending   bool    // nothing more is read, and it is closed once all is written
 }
 
-// piece is a part of an answer's text, held for a route.
+// piece is a part of an answer's text, held for its route; with the last one the answer has left.
 type piece struct {
-	text  []byte
-	route router.Route
+	text []byte
+	of   *answer
+	last bool
 }
 
 // hold counts bytes for a route; what is said from here is nobody's.
@@ -193,10 +231,26 @@
 	operation uint64
 	route     router.Route
 	op        *router.Operation
+	kind      string // as its client names it: a contract renames it
+	how       end
 	held      int // bytes of its value, until it is answered
 	parts     [][]byte
 }
 
+// left counts an operation as its last byte leaves, or as its client does without it.
+func (a *answer) left(whole bool) {
+	if a.op == nil {
+		return
+	}
+	f := a.c.f
+	if f.open--; whole {
+		if f.tallies[a.kind] == nil { // types are those of the settings and of contracts: few
+			f.tallies[a.kind] = &Tally{}
+		}
+		f.tallies[a.kind].count(a.how)
+	}
+}
+
 // Opened is for dialled connections.
 func (c *Client) Opened() {}
 
@@ -264,11 +318,12 @@
 		return false
 	}
 	c.useful = true
-	a := &answer{c: c, op: op, route: route}
+	a := &answer{c: c, op: op, route: route, kind: op.Kind}
+	f.open++
 	c.answers = append(c.answers, a)
 	if full {
 		c.ending = c.ending || c.surplus
-		a.give(c.codec.Declined(op, 0))
+		a.Declined(0)
 		return true
 	}
 	a.held = len(op.Value) // it may be answered before Take returns
@@ -281,10 +336,16 @@
 func (a *answer) Finished(with router.Result) { a.give(a.c.codec.Finished(a.op, with)...) }
 
 // Declined tells that trying again is harmless.
-func (a *answer) Declined(after float64) { a.give(a.c.codec.Declined(a.op, after)) }
+func (a *answer) Declined(after float64) {
+	a.how = deferred
+	a.give(a.c.codec.Declined(a.op, after))
+}
 
 // Terminated promises nothing.
-func (a *answer) Terminated() { a.give(a.c.codec.Terminated(a.op)) }
+func (a *answer) Terminated() {
+	a.how = errored
+	a.give(a.c.codec.Terminated(a.op))
+}
 
 // give takes an answer's text and writes what is due.
 func (a *answer) give(parts ...[]byte) {
@@ -300,8 +361,9 @@
 		return
 	}
 	for len(c.answers) > 0 && c.answers[0].parts != nil {
-		for _, p := range c.answers[0].parts {
-			c.rest = append(c.rest, piece{p, c.answers[0].route})
+		first := c.answers[0]
+		for i, p := range first.parts {
+			c.rest = append(c.rest, piece{p, first, i == len(first.parts)-1})
 		}
 		c.answers = c.answers[1:]
 	}
@@ -320,12 +382,15 @@
 	for len(c.rest) > 0 {
 		p := &c.rest[0]
 		n := c.conn.Write(p.text)
-		if hold(p.route, -n); n > 0 {
+		if hold(p.of.route, -n); n > 0 {
 			c.used = c.f.loop.Now()
 		}
 		if p.text = p.text[n:]; len(p.text) > 0 {
 			return
 		}
+		if p.last {
+			p.of.left(true)
+		}
 		c.rest = c.rest[1:]
 	}
 	if !c.full() && !c.ending {
@@ -376,9 +441,12 @@
 		f.desk.Gone(c.listener)
 	}
 	for _, p := range c.rest {
-		hold(p.route, -len(p.text))
+		if hold(p.of.route, -len(p.text)); p.last {
+			p.of.left(false)
+		}
 	}
 	for _, a := range c.answers {
+		a.left(false)
 		if a.parts != nil {
 			c.drop(a)
 		} else if a.core != nil {
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -457,3 +457,52 @@
 		t.Error("commands were read though no answer was")
 	}
 }
+
+// Each operation that was taken counts once, as its client saw it end, and none stays open.
+func TestTally(t *testing.T) {
+	s := serve(t, bounds{Limits{Connections: 10, Spare: 1}, 3, 1 << 20})
+	ends := []func(*held){
+		func(h *held) { h.x.Settled(logic.Finished, router.Result{Value: []byte("v")}) },
+		func(h *held) { h.x.Settled(logic.Withdrawn, router.Result{}) }, // and no other server: declined
+	}
+	conn, in := s.dial()
+	for i, end := range ends {
+		fmt.Fprintf(conn, "mg k v Ot%d Pc=t,d=4000\r\n", i)
+		h := <-s.began
+		s.loop.Post(func() { end(h) })
+		in.ReadString('\n')
+		if i == 0 {
+			in.ReadString('\n')
+		}
+	}
+	for i := range 4 { // three have a place
+		fmt.Fprintf(conn, "mg k v Ou%d Pc=t,d=4000\r\n", i)
+	}
+	fmt.Fprint(conn, "mg k v Ov Pc=none,d=4000\r\n")
+	for range 3 {
+		<-s.began
+	}
+	state := func() (open int, tally Tally) {
+		done := make(chan bool)
+		s.loop.Post(func() { open, tally = s.Open(), s.Tally("t"); close(done) })
+		<-done
+		return open, tally
+	}
+	if open, tally := state(); open != 4 || tally != (Tally{Answered: 1, Deferred: 1}) {
+		t.Errorf("%d are open, ends are %+v", open, tally)
+	}
+	conn.Close()
+	for i := 0; ; i++ {
+		open, tally := state()
+		if open == 0 {
+			if tally != (Tally{Answered: 1, Deferred: 1}) {
+				t.Errorf("after the client left ends are %+v", tally)
+			}
+			break
+		}
+		if i > 200 {
+			t.Fatalf("%d stay open", open)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
--- a/internal/lab/baseline/baseline.go
+++ b/internal/lab/baseline/baseline.go
@@ -310,3 +310,8 @@
 
 // Wake has no timers.
 func (m *Module) Wake(float64, string) {}
+
+// Standing tells how many servers the list holds, and how many of these drain: baselines avoid none for its failures.
+func (m *Module) Standing() (listed, avoided int) {
+	return len(m.servers), len(m.servers) - len(m.ready)
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -117,6 +117,7 @@
 	Probed(now float64, server uint64, how logic.Outcome)
 	Wake(now float64, name string)
 	Offer(types []logic.TrafficType)
+	Standing() (listed, avoided int)
 }
 
 // Maker starts a module.
@@ -194,6 +195,12 @@
 	r.guard(nil, func() { r.module.Listed(r.Clock.Now(), kind, members) })
 }
 
+// Standing tells how many servers the list holds, and how many of these the module avoids now.
+func (r *Router) Standing() (listed, avoided int) {
+	r.guard(nil, func() { listed, avoided = r.module.Standing() })
+	return listed, avoided
+}
+
 // Offer takes the traffic types that operations may have from now on.
 func (r *Router) Offer(types []logic.TrafficType) {
 	r.guard(nil, func() { r.module.Offer(types) })
--- a/internal/service/contracts.go
+++ b/internal/service/contracts.go
@@ -89,6 +89,7 @@
 		}
 		p.stop()
 		p.fleet.Close()
+		s.sent += p.fleet.Sends()
 		return true
 	})
 	if len(s.leaving) > 0 && s.phase != Ended {
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -14,6 +14,7 @@
 	"bendtrestle/internal/broker"
 	"bendtrestle/internal/caches"
 	"bendtrestle/internal/config"
+	"bendtrestle/internal/control"
 	"bendtrestle/internal/front"
 	"bendtrestle/internal/front/tilefront"
 	"bendtrestle/internal/operators"
@@ -65,6 +66,11 @@
 	leaving   []*pool          // that are no longer named and have operations open
 	module    router.Maker
 	peers     *peers.Peers
+	desk      *desk // what the operators' door calls; nil: there is none
+	door      *control.Door
+	loaded    uint64            // configurations that were taken, the first one too
+	invalid   uint64            // that were not
+	sent      uint64            // executions written to servers of pools that are gone
 	seen      map[string]uint64 // what teams had taken when they were last counted
 }
 
@@ -102,6 +108,7 @@
 			s.loop.Post(s.leave)
 		} else if set, err := again(); err != nil {
 			s.log.Error().Err(err).Msg("the new configuration cannot be used; the old one stays")
+			s.loop.Post(func() { s.invalid++ })
 		} else {
 			s.loop.Post(func() { s.reconfigure(set) })
 		}
@@ -118,6 +125,7 @@
 		s.log.Warn().Strs("keys", keys).Msg("these changes need a restart; the old values stay")
 	}
 	s.conf.Discovery = conf.Discovery
+	s.loaded++
 	s.log.Info().Str("discovery", conf.Discovery).Msg("configured anew")
 	s.platform.follow(conf.Discovery)
 	s.contract(set)
@@ -130,7 +138,7 @@
 		return nil, err
 	}
 	conf := set.Platform
-	s, c := &Service{conf: conf, log: log, loop: loop, module: module, pools: map[string]*pool{},
+	s, c := &Service{conf: conf, log: log, loop: loop, module: module, loaded: 1, pools: map[string]*pool{},
 		listeners: map[string]*sock.Listener{}, tiles: map[string]*tilefront.Server{}, seen: map[string]uint64{}}, &conf
 	s.log.Info().Str("name", c.Name).Str("listen", c.Listen).Int("clients", c.Clients).Int("caches", c.Caches).
 		Int("open", c.Open).Msg("starting")
@@ -158,6 +166,11 @@
 	s.platform.follow(c.Discovery)
 	s.contract(set)
 	s.loop.After(counting, s.count)
+	if c.Ops != "" {
+		s.desk = &desk{s: s}
+		s.publish()
+		s.door = control.Open(c.Ops, config.OpsPlaces, s.desk, s.log)
+	}
 	return s, nil
 }
 
@@ -174,6 +187,7 @@
 
 func (s *Service) enter(p Phase) {
 	s.phase = p
+	s.publish()
 	s.log.Info().Stringer("phase", p).Msg("phase")
 }
 
@@ -215,6 +229,9 @@
 	if s.phase != Ended {
 		s.enter(Ended)
 		s.counts()
+		if s.door != nil {
+			s.door.Close()
+		}
 		s.platform.stop()
 		for _, p := range s.pools {
 			p.stop()
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -160,7 +160,7 @@
 	path := filepath.Join(t.TempDir(), "config.json")
 	signals := make(chan os.Signal)
 	go s.obey(signals, func() (Setup, error) {
-		conf, err := config.Read(func(string) string { return path })
+		conf, err := config.Read(func(name string) string { return map[string]string{"GW_CONFIG": path}[name] })
 		return Setup{Platform: conf}, err
 	})
 	defer close(signals)
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -351,6 +351,17 @@
 	return s.fails >= 3 && (r.now < s.until || len(s.out) > 0)
 }
 
+// Standing tells how many caches the list holds, and how many of these are avoided now, by their mode or for their
+// failures; it changes nothing.
+func (r *Router) Standing() (listed, avoided int) {
+	for _, s := range r.servers {
+		if listed++; s.Mode != InService || s.fails >= 3 {
+			avoided++
+		}
+	}
+	return listed, avoided
+}
+
 // choose picks the server for an operation's next execution, or none: of the caches that share the key the
 // one whose turn it is, else the nearest past the sick or crowded, the sick, what rules forbid.
 func (r *Router) choose(op *operation) *server {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -764,3 +764,11 @@
 		expect(t, fmt.Sprint(went, " of 50 went on with ", c), went <= c.most && went >= c.most-15, true)
 	}
 }
+
+func TestStandingCountsWhatIsAvoided(t *testing.T) {
+	r, _ := fleet(5, nil)
+	r.Listed(1, Diff, []Member{{ID: 3, Mode: Draining, Capacity: 1}})
+	r.servers[1].fails, r.servers[2].fails = 2, 3
+	listed, avoided := r.Standing()
+	expect(t, "caches listed and avoided", fmt.Sprint(listed, avoided), "5 2")
+}
