--- a/internal/caches/caches.go
+++ b/internal/caches/caches.go
@@ -77,12 +77,19 @@
 func (f *Fleet) Unlisted(id uint64) {
 	if s := f.servers[id]; s != nil {
 		s.listed = false
+		f.LetGo(id)
+		delete(f.servers, id) // what is out there goes on
+	}
+}
+
+// LetGo gives up what still waits for a connection to a server, and closes idle ones.
+func (f *Fleet) LetGo(id uint64) {
+	if s := f.servers[id]; s != nil {
 		for _, a := range s.waiting {
 			a.settle(logic.NotSent, router.Result{})
 		}
 		s.waiting = nil
 		s.closeIdle()
-		delete(f.servers, id) // what is out there goes on
 	}
 }
 
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -23,6 +23,7 @@
 	Memory, Sockets         int // bytes, descriptors
 	PeerListen, PeersAll    string
 	Ops                     string // the operators' door; empty: none
+	Shared                  string // a folder that the next process of this router sees, too; empty: none
 	Peers                   []string
 	Known                   discovery.List
 	Settings                logic.Settings
@@ -94,7 +95,7 @@
 	}
 	c := Config{Name: told("name", "GW_NAME"), Listen: told("listen", "GW_LISTEN"),
 		Discovery: told("discovery", "GW_DISCOVERY"), PeerListen: o.Text("peer_listen"), PeersAll: o.Text("peers_all"),
-		Peers: o.Texts("peers"), Ops: told("ops", "GW_OPS")}
+		Peers: o.Texts("peers"), Ops: told("ops", "GW_OPS"), Shared: env("TMPDIR")}
 	address(o, "listen", c.Listen, true)
 	address(o, "discovery", c.Discovery, true)
 	address(o, "peer_listen", c.PeerListen, false)
--- a/internal/config/describe.go
+++ b/internal/config/describe.go
@@ -36,6 +36,7 @@
 	say("listen", "/listen", "GW_LISTEN", "%s", c.Listen)
 	say("discovery", "/discovery", "GW_DISCOVERY", "%s", c.Discovery)
 	say("ops", "/ops", "GW_OPS", "%s", orNone(c.Ops))
+	say("shared folder", "", "TMPDIR", "%s", orNone(c.Shared))
 	say("limits.cores", "/limits/cores", "default", "%v", c.Cores)
 	say("limits.memory_mb", "/limits/memory_mb", "default", "%d", c.Memory>>20)
 	say("limits.sockets", "/limits/sockets", "default", "%d", c.Sockets)
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -10,6 +10,7 @@
 	stdlog "log"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,19 +21,26 @@
 const (
 	headBound = 4 << 10
 	whole     = 5 * time.Second // for a call to come whole, and for its answer to be read
-	again     = 200 * time.Millisecond
+	bodyBound = 1 << 10         // an id
+	longID    = 256
+	again     = 200 * time.Millisecond // between two tries to open the door
 )
 
 // Router is what the door needs. Its methods may be called from any goroutine, and return within a second.
 type Router interface {
 	Ready() bool
 	Figures() []byte
+	Disable(id string) error
+	Enable(id string) error
 	Drain() error
 	Undrain() error
 }
 
-// ErrNotNow tells that a call was not carried out.
-var ErrNotNow = errors.New("the router does not come to it now; nothing was done")
+// Why a call is not carried out.
+var (
+	ErrUnknown = errors.New("no cache server is known by this id")
+	ErrNotNow  = errors.New("the router does not come to it now; nothing was done")
+)
 
 // Door is one open door.
 type Door struct {
@@ -173,11 +181,30 @@
 		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 		w.Write(r.Figures())
 	})
+	m.HandleFunc("POST /cache-servers/disable", about(r.Disable))
+	m.HandleFunc("POST /cache-servers/enable", about(r.Enable))
 	m.HandleFunc("POST /drain", plain(r.Drain))
 	m.HandleFunc("POST /undrain", plain(r.Undrain))
 	return m
 }
 
+// about serves a call with a cache server's id as its body.
+func about(act func(id string) error) http.HandlerFunc {
+	return func(w http.ResponseWriter, q *http.Request) {
+		body, err := io.ReadAll(http.MaxBytesReader(w, q.Body, bodyBound))
+		came(q)
+		id := strings.TrimSpace(string(body))
+		switch {
+		case err != nil || len(id) > longID:
+			say(w, http.StatusBadRequest, "the body is too long for the id of a cache server, or did not come")
+		case id == "" || strings.ContainsFunc(id, func(c rune) bool { return c <= ' ' || c == 0x7f || c == 0xfffd }):
+			say(w, http.StatusBadRequest, "the body is to be the id of a cache server, as the list has it")
+		default:
+			answer(w, act(id))
+		}
+	}
+}
+
 // plain serves a call without a body; one that comes is not looked at.
 func plain(act func() error) http.HandlerFunc {
 	return func(w http.ResponseWriter, q *http.Request) {
@@ -187,11 +214,14 @@
 }
 
 func answer(w http.ResponseWriter, err error) {
-	if err != nil {
+	switch {
+	case err == nil:
+		say(w, http.StatusOK, "done")
+	case errors.Is(err, ErrUnknown):
+		say(w, http.StatusNotFound, err.Error())
+	default:
 		say(w, http.StatusServiceUnavailable, err.Error())
-		return
 	}
-	say(w, http.StatusOK, "done")
 }
 
 func say(w http.ResponseWriter, status int, text string) {
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -75,3 +75,24 @@
 		t.Errorf("got %q, want %q", got, want)
 	}
 }
+
+func TestCacheServers(t *testing.T) {
+	addr := opened(t, 4, &routed{})
+	for body, want := range map[string]string{
+		"s-1":                     "200 OK done",
+		" s-1\r\n":                "200 OK done",
+		"s-2":                     "404 Not Found " + ErrUnknown.Error(),
+		"":                        "400 Bad Request the body is to be",
+		"s-1 s-2":                 "400 Bad Request the body is to be",
+		"s\x00":                   "400 Bad Request the body is to be",
+		"\xff":                    "400 Bad Request the body is to be",
+		strings.Repeat("s", 257):  "400 Bad Request the body is too long",
+		strings.Repeat("s", 9999): "400 Bad Request the body is too long",
+	} {
+		for _, call := range []string{"disable", "enable"} {
+			if got := ask(t, addr, "POST /cache-servers/"+call, body); !strings.HasPrefix(got, want) {
+				t.Errorf("%s %.20q: got %q, want %q", call, body, got, want)
+			}
+		}
+	}
+}
--- a/internal/control/helpers_test.go
+++ b/internal/control/helpers_test.go
@@ -18,12 +18,21 @@
 	err   error // of all calls that act
 }
 
-func (r *routed) Drain() error   { return r.err }
-func (r *routed) Undrain() error { return r.err }
+func (r *routed) Disable(id string) error { return r.about(id) }
+func (r *routed) Enable(id string) error  { return r.about(id) }
+func (r *routed) Drain() error            { return r.err }
+func (r *routed) Undrain() error          { return r.err }
 
 func (r *routed) Ready() bool     { return r.ready }
 func (r *routed) Figures() []byte { return []byte("gw.current=1\n") }
 
+func (r *routed) about(id string) error {
+	if id != "s-1" {
+		return ErrUnknown
+	}
+	return r.err
+}
+
 func door(t *testing.T, addr string, places int, r Router) {
 	d := Open(addr, places, r, zerolog.Nop())
 	t.Cleanup(d.Close)
--- a/internal/lab/baseline/baseline.go
+++ b/internal/lab/baseline/baseline.go
@@ -311,7 +311,11 @@
 // Wake has no timers.
 func (m *Module) Wake(float64, string) {}
 
-// Standing tells how many servers the list holds, and how many of these drain: baselines avoid none for its failures.
-func (m *Module) Standing() (listed, avoided int) {
-	return len(m.servers), len(m.servers) - len(m.ready)
+// Barred is not for baselines.
+func (m *Module) Barred(float64, uint64, bool) {}
+
+// Avoids tells whether a server gets nothing by its mode: baselines avoid none for its failures.
+func (m *Module) Avoids(id uint64) bool {
+	s := m.servers[id]
+	return s == nil || s.Mode != logic.InService
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -117,7 +117,8 @@
 	Probed(now float64, server uint64, how logic.Outcome)
 	Wake(now float64, name string)
 	Offer(types []logic.TrafficType)
-	Standing() (listed, avoided int)
+	Barred(now float64, server uint64, out bool)
+	Avoids(server uint64) bool
 }
 
 // Maker starts a module.
@@ -195,10 +196,15 @@
 	r.guard(nil, func() { r.module.Listed(r.Clock.Now(), kind, members) })
 }
 
-// Standing tells how many servers the list holds, and how many of these the module avoids now.
-func (r *Router) Standing() (listed, avoided int) {
-	r.guard(nil, func() { listed, avoided = r.module.Standing() })
-	return listed, avoided
+// Barred takes that operators leave a server out, or that it may serve again.
+func (r *Router) Barred(server uint64, out bool) {
+	r.guard(nil, func() { r.module.Barred(r.Clock.Now(), server, out) })
+}
+
+// Avoids tells whether the module sends a server nothing new now.
+func (r *Router) Avoids(server uint64) (avoided bool) {
+	r.guard(nil, func() { avoided = r.module.Avoids(server) })
+	return avoided
 }
 
 // Offer takes the traffic types that operations may have from now on.
--- /dev/null
+++ b/internal/service/bans.go
@@ -0,0 +1,88 @@
+package service
+
+import (
+	"errors"
+
+	"bendtrestle/internal/control"
+	"bendtrestle/internal/discovery"
+	"bendtrestle/internal/handover"
+)
+
+// openBans takes what operators have called before this process began, and what they call at another process of this router.
+func (s *Service) openBans() {
+	path := handover.Path(s.conf.Shared, s.conf.Listen, "out")
+	bans, ids := handover.OpenBans(path, func(ids []string) { s.loop.Post(func() { s.bar(ids) }) }, s.log)
+	s.bans = bans
+	s.bar(ids)
+}
+
+// bar takes the whole set of cache servers that are out.
+func (s *Service) bar(ids []string) {
+	now := map[string]bool{}
+	for _, id := range ids {
+		if now[id] = true; !s.out[id] {
+			s.barOne(id, true)
+		}
+	}
+	for id := range s.out {
+		if !now[id] {
+			s.barOne(id, false)
+		}
+	}
+	s.publish()
+}
+
+func (s *Service) barOne(id string, out bool) {
+	if s.out[id] = true; !out {
+		delete(s.out, id)
+	}
+	s.log.Info().Str("server", id).Bool("out", out).Msg("by hand")
+	s.platform.bar(discovery.ID(id), out)
+	for _, p := range s.pools {
+		p.bar(discovery.ID(id), out)
+	}
+}
+
+// known tells whether a list has named a server, or it is out.
+func (s *Service) known(id string) bool {
+	if s.out[id] {
+		return true
+	}
+	_, known := s.platform.known[discovery.ID(id)]
+	for _, p := range s.pools {
+		_, there := p.known[discovery.ID(id)]
+		known = known || there
+	}
+	return known
+}
+
+// Disable leaves a cache server out until Enable.
+func (d *desk) Disable(id string) error { return d.hand(id, true) }
+
+// Enable lets a cache server serve again.
+func (d *desk) Enable(id string) error { return d.hand(id, false) }
+
+// hand writes the call down and says yes once the loop has acted on it. The loop takes whole sets in the order in which they were
+// written, so that two calls at once do not undo one another for a moment: a server would count as back, and cold.
+func (d *desk) hand(id string, out bool) error {
+	err := d.do(func() error {
+		if !d.s.known(id) {
+			return control.ErrUnknown
+		}
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	if err = d.s.bans.Set(id, out); errors.Is(err, handover.ErrMany) {
+		return err
+	} else if err != nil { // it holds, but the next process will not know
+		d.s.log.Error().Err(err).Str("server", id).Msg("what was called by hand cannot be kept for the next process")
+	}
+	if err = d.do(func() error { return nil }); err != nil {
+		return errWritten
+	}
+	return nil
+}
+
+var errWritten = errors.New("the call is written down, but the router has not come to it yet")
--- a/internal/service/contracts.go
+++ b/internal/service/contracts.go
@@ -8,6 +8,7 @@
 	"bendtrestle/internal/broker"
 	"bendtrestle/internal/caches"
 	"bendtrestle/internal/caches/tilewire"
+	"bendtrestle/internal/discovery"
 	"bendtrestle/internal/front"
 	"bendtrestle/internal/front/tilefront"
 	"bendtrestle/internal/operators"
@@ -43,6 +44,9 @@
 			p = s.newPool(f.Name, f.Settings(c.Settings), connections, connect, f.Stall(stall(connect)), f.ConnIdle(c.ConnIdle),
 				f.Streams(c.PerConnection), s.wire(f))
 			s.pools[f.Name] = p
+			for id := range s.out {
+				p.bar(discovery.ID(id), true)
+			}
 		}
 		p.fleet.Limit(connections)
 		p.follow(f.Discovery)
--- a/internal/service/desk.go
+++ b/internal/service/desk.go
@@ -29,7 +29,7 @@
 
 // do acts on the loop, and tells how it went. What the loop has not begun in time is not done.
 func (d *desk) do(act func() error) error {
-	const late = 800 * time.Millisecond // an answer is owed in a second
+	const late = 400 * time.Millisecond // an answer is owed in a second, and a call may come to the loop twice
 	var begun atomic.Bool
 	ended := make(chan error, 1)
 	d.s.loop.Post(func() {
@@ -115,10 +115,10 @@
 		say("transactions."+kind+".errored", t.Errored)
 	}
 	sends := s.sent + s.platform.fleet.Sends()
-	listed, avoided := s.platform.router.Standing()
+	listed, avoided := s.platform.standing()
 	for _, p := range s.pools {
 		sends += p.fleet.Sends()
-		more, worse := p.router.Standing()
+		more, worse := p.standing()
 		listed, avoided = listed+more, avoided+worse
 	}
 	say("sends", sends)
--- a/internal/service/desk_test.go
+++ b/internal/service/desk_test.go
@@ -5,11 +5,16 @@
 	"fmt"
 	"io"
 	"net"
+	"net/netip"
 	"strings"
 	"testing"
 	"time"
 
 	"bendtrestle/internal/control"
+	"bendtrestle/internal/discovery"
+	"bendtrestle/logic"
+
+	"github.com/rs/zerolog"
 )
 
 // operated gives what the door calls of a service that serves.
@@ -129,3 +134,71 @@
 		t.Errorf("later mn is answered %q", got)
 	}
 }
+
+// A cache server that is out gets nothing from the yes on, whatever the list says; one call back undoes two calls out, and an
+// id that no list has named is refused.
+func TestOutByHand(t *testing.T) {
+	d, addr := operated(t, 0)
+	if err := d.Disable("s-2"); err != control.ErrUnknown {
+		t.Errorf("an unknown id gets %v", err)
+	}
+	for range 2 {
+		if err := d.Disable("s-1"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	n := 0
+	operation := func() string {
+		n++
+		return ask(addr, fmt.Sprintf("mg k v Oh%d Pc=t,d=1900", n))
+	}
+	if got := operation(); !strings.HasPrefix(got, "SERVER_ERROR busy") {
+		t.Errorf("with the only cache server out it answers %q", got)
+	}
+	d.s.loop.Post(func() {
+		for id := range d.s.platform.known { // it leaves the list and comes back under another start
+			e := discovery.Entry{Member: logic.Member{ID: id, Mode: logic.Gone}}
+			d.s.platform.hear(logic.Diff, discovery.List{Entries: []discovery.Entry{e}})
+			e.Mode, e.Started = logic.InService, 7
+			e.Addr = netip.MustParseAddrPort("127.0.0.1:1")
+			d.s.platform.hear(logic.Diff, discovery.List{Entries: []discovery.Entry{e}})
+		}
+	})
+	if got := operation(); !strings.HasPrefix(got, "SERVER_ERROR busy") {
+		t.Errorf("named anew by the list while out, it answers %q", got)
+	}
+	if got := string(d.Figures()); !strings.Contains(got, "gw.cluster_size=1\ngw.cluster_unhealthy=1\n") {
+		t.Errorf("the figures are %s", got)
+	}
+	if err := d.Enable("s-1"); err != nil {
+		t.Fatal(err)
+	}
+	if got := string(d.Figures()); !strings.Contains(got, "gw.cluster_size=1\ngw.cluster_unhealthy=0\n") {
+		t.Errorf("back in, the figures are %s", got)
+	}
+}
+
+// Calls at once for two servers: neither is taken back for a moment by the other's set, which would make it count as cold.
+func TestCallsForTwoServersAtOnce(t *testing.T) {
+	d, _ := operated(t, 0)
+	var log strings.Builder
+	d.s.loop.Post(func() {
+		d.s.platform.known[discovery.ID("s-2")] = false
+		d.s.log = zerolog.New(&log)
+	})
+	done := make(chan error)
+	for _, id := range []string{"s-1", "s-2"} {
+		go func() { done <- d.Disable(id) }()
+	}
+	for range 2 {
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	}
+	d.do(func() error {
+		if text := log.String(); strings.Contains(text, `"out":false`) || strings.Count(text, `"out":true`) != 2 {
+			t.Errorf("it did %s", text)
+		}
+		return nil
+	})
+}
--- a/internal/service/pool.go
+++ b/internal/service/pool.go
@@ -22,8 +22,9 @@
 	fleet    *caches.Fleet
 	onDemand bool            // its module asks for the list
 	listed   map[uint64]bool // the servers that the list holds
+	known    map[uint64]bool // servers that a list has named since the start, true: the present one does
 	told     uint64          // the list's generation as the list service last told it
-	known    discovery.List  // the list as the router's last run had it
+	last     discovery.List  // the list as the router's last run had it
 	pace     pace.Pace       // of calls to the list service that fail
 	watch    *watch          // whose news count
 	next     *watch          // that watch's successor, until it has told a whole list
@@ -38,7 +39,7 @@
 
 // newPool makes one without servers.
 func (s *Service) newPool(name string, set logic.Settings, connections int, connect, stall, idle float64, streams int, wire func(caches.Link) caches.Wire) *pool {
-	p := &pool{s: s, name: name, onDemand: set.OnRequest, listed: map[uint64]bool{}, log: s.log}
+	p := &pool{s: s, name: name, onDemand: set.OnRequest, listed: map[uint64]bool{}, known: map[uint64]bool{}, log: s.log}
 	// Where the list comes only when asked for, one service answers all routers, and a call that it turns away costs it too:
 	// waits from a sixteenth of the time within which it wants to be asked left it full for longer than from a quarter.
 	// Elsewhere it is an agent beside the router, and a watch goes on within 0.2 s.
@@ -73,9 +74,9 @@
 	w := &watch{addr: addr, stop: stop}
 	p.next = w
 	start := discovery.Start{Known: p.told, Pace: p.pace}
-	if len(p.known.Entries) > 0 { // of the address that the start names: one named later may count its own way
-		start.Known, start.Same = p.known.Generation, true
-		p.known = discovery.List{}
+	if len(p.last.Entries) > 0 { // of the address that the start names: one named later may count its own way
+		start.Known, start.Same = p.last.Generation, true
+		p.last = discovery.List{}
 	}
 	p.pace.Seed++ // another's chance for the next
 	go discovery.Watch(ctx, addr, start, func(l discovery.List) {
@@ -125,10 +126,14 @@
 		for id := range p.listed {
 			p.listed[id] = false
 		}
+		for id := range p.known {
+			p.known[id] = false
+		}
 	}
 	var members []logic.Member
 	for _, e := range l.Entries {
 		p.listed[e.ID] = e.Mode == logic.InService
+		p.named(e.ID, e.Mode != logic.Gone)
 		p.fleet.Listed(e.ID, e.Addr)
 		members = append(members, e.Member)
 	}
@@ -149,6 +154,37 @@
 	}
 }
 
+const names = 4096 // servers remembered for operators' calls; several fleets' worth
+
+// named remembers that a list names a server, or no longer does.
+func (p *pool) named(id uint64, now bool) {
+	p.known[id] = now
+	if len(p.known) > names {
+		maps.DeleteFunc(p.known, func(_ uint64, listed bool) bool { return !listed })
+	}
+}
+
+// standing tells how many servers the list holds, and how many of these are avoided now.
+func (p *pool) standing() (listed, avoided int) {
+	for id, now := range p.known {
+		if !now {
+			continue
+		}
+		if listed++; p.router.Avoids(id) {
+			avoided++
+		}
+	}
+	return listed, avoided
+}
+
+// bar leaves a server out, or takes it back.
+func (p *pool) bar(id uint64, out bool) {
+	p.router.Barred(id, out)
+	if out {
+		p.fleet.LetGo(id)
+	}
+}
+
 // count logs what has happened since the start.
 func (p *pool) count(log zerolog.Logger, clients int) {
 	c := p.router.Counts
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -17,6 +17,7 @@
 	"bendtrestle/internal/control"
 	"bendtrestle/internal/front"
 	"bendtrestle/internal/front/tilefront"
+	"bendtrestle/internal/handover"
 	"bendtrestle/internal/operators"
 	"bendtrestle/internal/peers"
 	"bendtrestle/internal/router"
@@ -68,9 +69,11 @@
 	peers     *peers.Peers
 	desk      *desk // what the operators' door calls; nil: there is none
 	door      *control.Door
-	loaded    uint64            // configurations that were taken, the first one too
-	invalid   uint64            // that were not
-	sent      uint64            // executions written to servers of pools that are gone
+	loaded    uint64 // configurations that were taken, the first one too
+	invalid   uint64 // that were not
+	sent      uint64 // executions written to servers of pools that are gone
+	bans      *handover.Bans
+	out       map[string]bool   // cache servers that operators took out
 	draining  bool              // clients are sent away
 	drains    int               // how often that began or ended
 	seen      map[string]uint64 // what teams had taken when they were last counted
@@ -141,7 +144,7 @@
 	}
 	conf := set.Platform
 	s, c := &Service{conf: conf, log: log, loop: loop, module: module, loaded: 1, pools: map[string]*pool{},
-		listeners: map[string]*sock.Listener{}, tiles: map[string]*tilefront.Server{}, seen: map[string]uint64{}}, &conf
+		listeners: map[string]*sock.Listener{}, tiles: map[string]*tilefront.Server{}, out: map[string]bool{}, seen: map[string]uint64{}}, &conf
 	s.log.Info().Str("name", c.Name).Str("listen", c.Listen).Int("clients", c.Clients).Int("caches", c.Caches).
 		Int("open", c.Open).Msg("starting")
 	if c.Reports.How != "off" {
@@ -159,7 +162,8 @@
 	s.platform = s.newPool("", c.Settings, c.Caches, c.ConnectTimeout, stall(c.ConnectTimeout), c.ConnIdle, c.PerConnection, caches.Memcache)
 	s.broker = broker.New(s.loop.Now, c.Settings, s.platform.router, broker.Limits{Open: c.Open, Held: c.Held, Connections: c.Clients})
 	s.front = front.New(s.loop, s.broker, front.Limits{Connections: c.Clients, Spare: c.Spare})
-	s.platform.known = c.Known
+	s.openBans()
+	s.platform.last = c.Known
 	s.platform.hear(logic.Disk, c.Known)
 	s.listener, err = s.loop.Listen(c.Listen, s.front.Room, s.front.At("", front.Memcache))
 	if err != nil {
@@ -234,6 +238,7 @@
 		if s.door != nil {
 			s.door.Close()
 		}
+		s.bans.Close()
 		s.platform.stop()
 		for _, p := range s.pools {
 			p.stop()
--- a/logic/host.go
+++ b/logic/host.go
@@ -209,6 +209,7 @@
 	fails          int     // failures since the last success
 	until          float64 // passed over until then, after failures
 	down           bool    // refused connections since it last answered
+	barred         bool    // operators leave it out
 	fresh          float64 // when it is taken to have started; 0: long ago
 	budget, filled float64 // executions that may be sent to it while it is cold, and when that was filled
 }
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1,5 +1,5 @@
 // Package logic is bendtrestle's decision module. A router process makes one Router with New and then calls
-// one method for each thing that happens: Listed, Arrived, Began, Settled, Left, Told, Wake. It acts
+// one method for each thing that happens: Listed, Barred, Arrived, Began, Settled, Left, Told, Wake. It acts
 // by calling the Host it was handed, before the method returns. Host and all types, the kept records among
 // them, are in host.go. Time is in seconds; equal calls lead to equal actions.
 package logic
@@ -143,14 +143,11 @@
 	}
 	seen, moved := map[*server]bool{}, false
 	for _, m := range members {
-		s := r.servers[m.ID]
-		if s == nil {
-			s = &server{}
-			r.servers[m.ID] = s
-		}
+		s := cmp.Or(r.servers[m.ID], &server{})
+		r.servers[m.ID] = s
 		moved = moved || s.Mode != m.Mode || s.Started != m.Started
 		if m.Mode == InService && (m.Started > s.Started || s.Mode != InService) {
-			*s = server{share: 1, slow: 1, joint: 1, out: s.out, fresh: m.Started, filled: now,
+			*s = server{share: 1, slow: 1, joint: 1, out: s.out, fresh: m.Started, filled: now, barred: s.barred,
 				budget: r.chance()} // one for each of many routers would be too much together
 		}
 		size := m.Capacity
@@ -167,7 +164,9 @@
 	for id, s := range r.servers {
 		if s.Mode == Gone || kind != Diff && !seen[s] {
 			s.Mode, moved = Gone, true // what is out there still knows it; ever new ids must not pile up
-			delete(r.servers, id)
+			if !s.barred {
+				delete(r.servers, id)
+			}
 		}
 	}
 	if moved {
@@ -178,6 +177,19 @@
 	}
 }
 
+// Barred takes that operators leave a cache out, whatever lists say, or that it may serve again: then it may have
+// started anew, cold, before a list tells of that (rule 4).
+func (r *Router) Barred(now float64, id uint64, out bool) {
+	r.now = now
+	s := cmp.Or(r.servers[id], &server{share: 1, slow: 1, joint: 1})
+	r.servers[id] = s
+	if s.barred && !out {
+		s.fresh, s.filled, s.budget, s.fails, s.down = now, now, r.chance(), 0, false
+	}
+	s.barred = out
+	r.regroup()
+}
+
 // even adds up what all caches hold, and moves the part of its points that each answers for: gently, for keys
 // that move miss, and by what it held over some four seconds, for one look says little. All see the same.
 func (r *Router) even(passed float64) {
@@ -199,7 +211,7 @@
 	r.ready, r.points, r.size = nil, nil, 0
 	largest := 0.0
 	for _, s := range r.servers {
-		if s.Mode == InService {
+		if s.Mode == InService && !s.barred {
 			r.ready, largest = append(r.ready, s), max(largest, s.size)
 		}
 	}
@@ -351,15 +363,10 @@
 	return s.fails >= 3 && (r.now < s.until || len(s.out) > 0)
 }
 
-// Standing tells how many caches the list holds, and how many of these are avoided now, by their mode or for their
-// failures; it changes nothing.
-func (r *Router) Standing() (listed, avoided int) {
-	for _, s := range r.servers {
-		if listed++; s.Mode != InService || s.fails >= 3 {
-			avoided++
-		}
-	}
-	return listed, avoided
+// Avoids tells whether a cache gets nothing new now: by its mode, by hand, or for its failures.
+func (r *Router) Avoids(id uint64) bool {
+	s := r.servers[id]
+	return s == nil || s.Mode != InService || s.barred || s.fails >= 3
 }
 
 // choose picks the server for an operation's next execution, or none: of the caches that share the key the
@@ -518,7 +525,7 @@
 }
 
 func (r *Router) mayExecute(op *operation, s *server) bool {
-	return r.mayGoOn(op) && s.Mode == InService && !op.any(func(e *execution) bool {
+	return r.mayGoOn(op) && s.Mode == InService && !s.barred && !op.any(func(e *execution) bool {
 		outside := op.row.Group == Zone && e.on.Zone != s.Zone || op.row.Group == Cell && e.on.Cell != s.Cell
 		return !e.harmless && op.row.Effect == Numbered && outside
 	})
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -765,10 +765,50 @@
 	}
 }
 
-func TestStandingCountsWhatIsAvoided(t *testing.T) {
+func TestAvoidsWhatDrainsIsBarredOrFailed(t *testing.T) {
 	r, _ := fleet(5, nil)
 	r.Listed(1, Diff, []Member{{ID: 3, Mode: Draining, Capacity: 1}})
+	r.Barred(1, 4, true)
 	r.servers[1].fails, r.servers[2].fails = 2, 3
-	listed, avoided := r.Standing()
-	expect(t, "caches listed and avoided", fmt.Sprint(listed, avoided), "5 2")
+	for id, want := range map[uint64]bool{1: false, 2: true, 3: true, 4: true, 5: false, 6: true} {
+		expect(t, fmt.Sprint("avoids ", id), r.Avoids(id), want)
+	}
+}
+
+// No list undoes what operators have called, for one that it drops and names anew neither, nor for one it has not named yet.
+func TestBarredStaysOutWhateverTheListSays(t *testing.T) {
+	r, _ := fleet(3, nil)
+	again := []Member{{ID: 1, Mode: InService, Capacity: 1}, {ID: 2, Mode: InService, Capacity: 1, Started: 5}, {ID: 9, Mode: InService, Capacity: 1}}
+	for _, id := range []uint64{2, 2, 9} {
+		r.Barred(1, id, true)
+	}
+	r.Listed(2, Diff, []Member{{ID: 2, Mode: Gone}})
+	r.Listed(3, Snapshot, again[:1])
+	r.Listed(6, Snapshot, again)
+	op := begun(r, "view", nil, false, true)
+	for _, s := range r.servers {
+		expect(t, fmt.Sprint("may execute on ", s.ID), r.mayExecute(op, s), s.ID == 1)
+	}
+	expect(t, "ready caches", len(r.ready), 1)
+	r.Barred(7, 2, false)
+	expect(t, "ready caches after the call back", len(r.ready), 2)
+	r.Barred(8, 7, false) // nothing was called of it
+	r.Listed(9, Diff, nil)
+	expect(t, "records", len(r.servers), 3)
+}
+
+// It may have started anew while it was out, before a list tells: it gets the slice and the budget of a cold one.
+func TestBarredIsColdOnceBack(t *testing.T) {
+	r, _ := fleet(4, nil)
+	r.Barred(50, 2, true)
+	r.servers[2].fails, r.servers[2].down = 7, true
+	r.Barred(60, 2, false)
+	s := r.servers[2]
+	expect(t, "its certain capacity", r.warmth(s), 0.25)
+	expect(t, "avoided for failures before", r.Avoids(2), false)
+	if s.budget >= 1 {
+		t.Errorf("its first budget is %v", s.budget)
+	}
+	r.Barred(61, 2, false)
+	expect(t, "fresh since", s.fresh, 60.0)
 }
