--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -69,6 +69,8 @@
 	tallies   map[string]*Tally
 	revision  int
 	longest   float64
+
+	weights, weighedDoors map[string]float64 // of the teams, as places are split by
 }
 
 // pool is one pool with its budgets.
@@ -286,9 +288,8 @@
 			doors[t.Team] = weights[t.Team]
 		}
 	}
-	b.places.Split(b.limits.Open, weights)
-	b.bytes.Split(b.limits.Held, weights)
-	b.doors.Split(b.limits.Connections, doors)
+	b.weights, b.weighedDoors = weights, doors
+	b.Limit(b.limits)
 	b.teams, b.listeners, b.tenants, b.prefixes, b.others = map[string]*team{}, map[string]*team{}, map[string]*team{}, nil, others
 	for _, terms := range all {
 		t := b.team(terms)
@@ -315,6 +316,14 @@
 	return lines
 }
 
+// Limit sets what may be open and held from now on; what is beyond it ends as it would.
+func (b *Broker) Limit(limits Limits) {
+	b.limits = limits
+	b.places.Split(limits.Open, b.weights)
+	b.bytes.Split(limits.Held, b.weights)
+	b.doors.Split(limits.Connections, b.weighedDoors)
+}
+
 // changePools sets up budgets, parts, places and the modules' traffic types of all pools.
 func (b *Broker) changePools(now float64, pools []Pool, all []Terms) {
 	old := b.pools
--- a/internal/caches/caches.go
+++ b/internal/caches/caches.go
@@ -56,8 +56,12 @@
 // Sends counts the executions whose last byte the kernel has taken, since the start.
 func (f *Fleet) Sends() uint64 { return f.sends }
 
-// Limit sets how many connections there may be from now on; those beyond it are not closed.
-func (f *Fleet) Limit(connections int) { f.limits.Connections = connections }
+// Limit sets how many connections there may be from now on; of those beyond it the idle ones are closed.
+func (f *Fleet) Limit(connections int) {
+	f.limits.Connections = connections
+	for f.links > connections && f.makeRoom() {
+	}
+}
 
 // Listed takes a server's address, known from now on.
 func (f *Fleet) Listed(id uint64, addr netip.AddrPort) {
@@ -225,20 +229,21 @@
 // room tells whether one more connection may be opened, and makes room by the one that has stood idle longest: with more
 // servers than connections, those that were asked first would keep the others from ever being asked.
 func (f *Fleet) room() bool {
-	if f.links < f.limits.Connections {
-		return true
-	}
+	return f.links < f.limits.Connections || f.makeRoom() && f.links < f.limits.Connections
+}
+
+// makeRoom closes the connection that has stood idle longest, if any has.
+func (f *Fleet) makeRoom() bool {
 	var oldest *link
 	for _, s := range f.servers {
 		if len(s.idle) > 0 && (oldest == nil || s.idle[0].since < oldest.since) {
 			oldest = s.idle[0]
 		}
 	}
-	if oldest == nil {
-		return false
+	if oldest != nil {
+		oldest.close()
 	}
-	oldest.close()
-	return f.links < f.limits.Connections
+	return oldest != nil
 }
 
 // words tell in the log how an execution failed there.
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -165,8 +165,9 @@
 func (c *Config) derive() {
 	sockets := c.Sockets - 32
 	if c.Ops != "" {
-		sockets = max(32, sockets-OpsPlaces-2)
+		sockets -= OpsPlaces + 2
 	}
+	sockets = max(sockets, 16)
 	c.Clients = sockets / 2
 	c.Spare = max(1, c.Clients/16)
 	c.Caches = sockets * 3 / 8
@@ -177,6 +178,14 @@
 	c.Held = c.Memory / 8
 }
 
+// Half is the configuration of one of two processes of a router that run side by side: limits are for both.
+func (c Config) Half() Config {
+	c.Sockets /= 2
+	c.Memory /= 2
+	c.derive()
+	return c
+}
+
 func address(o *settings.Object, key, text string, needed bool) {
 	if _, err := netip.ParseAddrPort(text); err != nil && (needed || text != "") {
 		o.Fault(key, "not an address and a port")
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -126,6 +126,9 @@
 	return false
 }
 
+// Limit sets how many connections there may be from now on; those beyond it make room as they fall idle.
+func (f *Front) Limit(limits Limits) { f.limits = limits }
+
 // Ready answers mn with MN from now on.
 func (f *Front) Ready() { f.ready = true }
 
@@ -445,7 +448,8 @@
 }
 
 func (c *Client) closeIfIdle() {
-	if c.f.clients[c] && c.idle() && (c.ending || c.f.leaving) {
+	fresh := !c.useful && c.f.loop.Now()-c.came < settled // it came to send at once: closed now, it would have come for nothing
+	if c.f.clients[c] && c.idle() && (c.ending || c.f.leaving && !fresh) {
 		c.close()
 	}
 }
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -394,16 +394,19 @@
 }
 
 // Told to leave, idle connections are closed at once, others after their answer, one with a begun command after
-// that one's.
+// that one's, and so is one that has just come to send its first.
 func TestLeave(t *testing.T) {
 	s := serve(t, ample)
-	_, idle := s.dial()
+	used, idle := s.dial()
+	fmt.Fprint(used, "mn\r\n")
+	want(t, idle, "SERVER_ERROR starting\r\n")
+	fresh, freshIn := s.dial()
 	busy, busyIn := s.dial()
 	fmt.Fprintf(busy, "mg k v O1 Pc=t\r\n")
 	h := <-s.began
 	begun, begunIn := s.dial()
 	fmt.Fprintf(begun, "mg k v O2")
-	for there := 0; there < 3; { // all have been accepted and read
+	for there := 0; there < 4; { // all have been accepted and read
 		s.do(func() {
 			there = 0
 			for c := range s.clients {
@@ -423,7 +426,10 @@
 	fmt.Fprintf(begun, " Pc=t\r\n")
 	s.finish(<-s.began, "y")
 	want(t, begunIn, "VA 1 O2\r\ny\r\n")
-	for _, in := range []*bufio.Reader{busyIn, begunIn} {
+	fmt.Fprintf(fresh, "mg k v O3 Pc=t\r\n")
+	s.finish(<-s.began, "z")
+	want(t, freshIn, "VA 1 O3\r\nz\r\n")
+	for _, in := range []*bufio.Reader{busyIn, begunIn, freshIn} {
 		if _, err := in.ReadByte(); err != io.EOF {
 			t.Errorf("an answered connection stays, %v", err)
 		}
--- /dev/null
+++ b/internal/handover/sockets.go
@@ -0,0 +1,214 @@
+package handover
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sys/unix"
+)
+
+const (
+	hello     = "bendtrestle 1 listens"
+	serving   = "serving"
+	told      = "sockets"         // before the addresses of those that come with the line
+	answering = time.Second       // for the other process to answer on the same machine
+	mostHeirs = 3                 // processes that may ask at once: one takes over, others may try
+	mostSock  = 64                // of clients' addresses that go over
+	lineBound = mostSock*64 + 256 // of the line that names them
+	pathBound = 100               // bytes of a Unix socket's path, with room for what its first name has more
+)
+
+// Predecessor is the process that ran before, as the next one sees it.
+type Predecessor struct{ conn *net.UnixConn }
+
+// Take asks the process that serves, if there is one, for its listening sockets; they come by their addresses.
+func Take(path string) (*Predecessor, map[string]int, error) {
+	if path == "" {
+		return nil, nil, errors.New("there is no folder for a socket")
+	}
+	c, err := net.DialTimeout("unix", path, answering)
+	if err != nil {
+		return nil, nil, err
+	}
+	conn := c.(*net.UnixConn)
+	conn.SetDeadline(time.Now().Add(answering))
+	sockets, err := ask(conn)
+	if err != nil {
+		conn.Close()
+		return nil, nil, err
+	}
+	conn.SetDeadline(time.Time{})
+	return &Predecessor{conn}, sockets, nil
+}
+
+func ask(conn *net.UnixConn) (map[string]int, error) {
+	if _, err := fmt.Fprintln(conn, hello); err != nil {
+		return nil, err
+	}
+	line, rights := make([]byte, lineBound), make([]byte, unix.CmsgSpace(4*mostSock))
+	n, m, _, _, err := conn.ReadMsgUnix(line, rights)
+	if err != nil {
+		return nil, err
+	}
+	var fds []int
+	messages, err := unix.ParseSocketControlMessage(rights[:m])
+	for _, message := range messages {
+		more, other := unix.ParseUnixRights(&message)
+		fds, err = append(fds, more...), errors.Join(err, other)
+	}
+	words := strings.Fields(string(line[:n]))
+	if err == nil && (len(words) == 0 || words[0] != told || len(words)-1 != len(fds)) {
+		err = errors.New("the process before speaks otherwise")
+	}
+	sockets := map[string]int{}
+	for i, fd := range fds {
+		if unix.CloseOnExec(fd); err != nil {
+			unix.Close(fd)
+		} else {
+			sockets[words[i+1]] = fd
+		}
+	}
+	return sockets, err
+}
+
+// Serving tells it that this process takes clients from now on.
+func (p *Predecessor) Serving() { fmt.Fprintln(p.conn, serving) }
+
+// Ended waits for its end.
+func (p *Predecessor) Ended() { p.conn.Read(make([]byte, 1)) }
+
+// Close lets go of it.
+func (p *Predecessor) Close() { p.conn.Close() }
+
+// Heirs are told what becomes of processes that ask, on goroutines of their own.
+type Heirs interface {
+	Sockets() map[string]int // descriptors by their addresses, to be closed once they are sent
+	Asked()                  // another process runs beside this one
+	Serves()                 // and takes clients from now on
+	Lost(served bool)        // it has ended
+}
+
+// Offer waits at a path for processes that come after this one.
+type Offer struct {
+	ln    *net.UnixListener
+	path  string
+	mine  os.FileInfo
+	heirs Heirs
+	log   zerolog.Logger
+	mu    sync.Mutex
+	asked int
+	conns map[net.Conn]bool
+}
+
+// Open takes the path over from whoever had it.
+func Open(path string, heirs Heirs, log zerolog.Logger) (*Offer, error) {
+	if path == "" || len(path) > pathBound {
+		return nil, errors.New("there is no folder for a socket, or its path is too long")
+	}
+	first := fmt.Sprint(path, ".", os.Getpid()%1000)
+	os.Remove(first)
+	ln, err := net.ListenUnix("unix", &net.UnixAddr{Name: first, Net: "unix"})
+	if err != nil {
+		return nil, err
+	}
+	ln.SetUnlinkOnClose(false)
+	os.Chmod(first, 0o600)
+	mine, err := os.Stat(first)
+	if err = errors.Join(err, os.Rename(first, path)); err != nil {
+		ln.Close()
+		os.Remove(first)
+		return nil, err
+	}
+	o := &Offer{ln: ln, path: path, mine: mine, heirs: heirs, log: log, conns: map[net.Conn]bool{}}
+	go o.accept()
+	return o, nil
+}
+
+// Close ends it; the path stays another's if one has taken it over.
+func (o *Offer) Close() {
+	if now, err := os.Stat(o.path); err == nil && os.SameFile(now, o.mine) {
+		os.Remove(o.path)
+	}
+	o.ln.Close()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for conn := range o.conns {
+		conn.Close()
+	}
+}
+
+func (o *Offer) accept() {
+	for {
+		conn, err := o.ln.AcceptUnix()
+		if err != nil {
+			return
+		}
+		o.mu.Lock()
+		room := len(o.conns) < mostHeirs
+		if room {
+			o.conns[conn] = true
+		}
+		o.mu.Unlock()
+		if !room || !ours(conn) {
+			o.done(conn)
+			continue
+		}
+		go o.serve(conn)
+	}
+}
+
+// ours tells whether the caller is this user's.
+func ours(conn *net.UnixConn) (same bool) {
+	raw, err := conn.SyscallConn()
+	if err == nil {
+		raw.Control(func(fd uintptr) {
+			who, err := unix.GetsockoptUcred(int(fd), unix.SOL_SOCKET, unix.SO_PEERCRED)
+			same = err == nil && int(who.Uid) == os.Getuid()
+		})
+	}
+	return same
+}
+
+func (o *Offer) done(conn net.Conn) {
+	o.mu.Lock()
+	delete(o.conns, conn)
+	o.mu.Unlock()
+	conn.Close()
+}
+
+// serve follows one process that asks.
+func (o *Offer) serve(conn *net.UnixConn) {
+	defer o.done(conn)
+	conn.SetDeadline(time.Now().Add(answering))
+	in := bufio.NewReaderSize(conn, 64)
+	if line, err := in.ReadString('\n'); err != nil || strings.TrimSpace(line) != hello {
+		return
+	}
+	line, fds := told, []int(nil)
+	for addr, fd := range o.heirs.Sockets() {
+		defer unix.Close(fd)
+		line, fds = line+" "+addr, append(fds, fd)
+	}
+	if len(fds) == 0 || len(fds) > mostSock {
+		return
+	}
+	if _, _, err := conn.WriteMsgUnix([]byte(line+"\n"), unix.UnixRights(fds...), nil); err != nil {
+		return
+	}
+	conn.SetDeadline(time.Time{})
+	o.heirs.Asked()
+	word, err := in.ReadString('\n')
+	served := err == nil && strings.TrimSpace(word) == serving
+	if served {
+		o.heirs.Serves()
+		in.ReadByte() // until it ends
+	}
+	o.heirs.Lost(served)
+}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -2,11 +2,14 @@
 package peers
 
 import (
+	"context"
 	"net"
 	"net/netip"
 	"slices"
+	"syscall"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/sys/unix"
 )
 
 const bound = 256 // bytes of a message, by the protocol
@@ -44,9 +47,14 @@
 	if err != nil {
 		return nil, err
 	}
-	if p.conn, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(at)); err != nil {
+	shared := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error { // with the next process of this router
+		return c.Control(func(fd uintptr) { unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1) })
+	}}
+	conn, err := shared.ListenPacket(context.Background(), "udp", at.String())
+	if err != nil {
 		return nil, err
 	}
+	p.conn = conn.(*net.UDPConn)
 	go p.hear(heard)
 	return p, nil
 }
--- a/internal/service/contracts.go
+++ b/internal/service/contracts.go
@@ -18,6 +18,7 @@
 // contract takes the operators' pools and contracts. What is open ends under the old ones.
 func (s *Service) contract(set Setup) {
 	f, terms := set.Operators, set.Operators.Terms()
+	s.operators = f
 	for i := range terms {
 		terms[i].Flat = set.Flat
 	}
@@ -27,7 +28,7 @@
 	if s.broker.Revision() == 0 {
 		s.loop.After(talking, s.talk)
 	}
-	c := &s.conf
+	c := s.bounds()
 	parts := 0.0
 	named := map[string]bool{}
 	for _, p := range f.Pools {
@@ -104,6 +105,9 @@
 // listen opens and closes the teams' listeners. One that cannot be opened is logged, and its team has none until the next
 // change.
 func (s *Service) listen(f operators.File) {
+	if s.phase == Starting && s.beside > 0 {
+		return // the process before this one takes their clients
+	}
 	wanted := map[string]bool{}
 	for _, t := range f.Teams {
 		if t.Listen != "" {
@@ -134,7 +138,7 @@
 			s.tiles[addr] = tilefront.New(t.Service, t.Kind, t.WaitHeader)
 			protocol = s.tiles[addr].Protocol
 		}
-		l, err := s.loop.Listen(addr, s.front.Room, s.front.At(addr, protocol))
+		l, err := s.listenAt(addr, protocol)
 		if err != nil {
 			s.log.Error().Err(err).Str("listen", addr).Msg("a team's listener cannot be opened")
 			delete(s.tiles, addr)
--- a/internal/service/desk.go
+++ b/internal/service/desk.go
@@ -102,7 +102,7 @@
 }
 
 // taking tells whether clients are taken.
-func (s *Service) taking() bool { return s.phase == Serving && !s.draining }
+func (s *Service) taking() bool { return s.phase == Serving && !s.draining && s.heirs == 0 }
 
 // figures are the numbers that operators' dashboards read, a line each; docs/operators/operations.md tells what each shows.
 func (s *Service) figures() []byte {
--- a/internal/service/pool.go
+++ b/internal/service/pool.go
@@ -146,8 +146,7 @@
 	})
 	ready := len(p.listed)
 	if p.s.phase == Starting && ready > 0 {
-		p.s.front.Ready()
-		p.s.enter(Serving)
+		p.s.serve()
 	}
 	if len(l.Entries) > 0 {
 		p.log.Info().Uint64("generation", l.Generation).Int("changes", len(l.Entries)).Int("ready", ready).Msg("list")
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -73,10 +73,17 @@
 	invalid   uint64 // that were not
 	sent      uint64 // executions written to servers of pools that are gone
 	bans      *handover.Bans
-	out       map[string]bool   // cache servers that operators took out
-	draining  bool              // clients are sent away
-	drains    int               // how often that began or ended
-	seen      map[string]uint64 // what teams had taken when they were last counted
+	out       map[string]bool       // cache servers that operators took out
+	before    *handover.Predecessor // the process before this one, while it runs
+	inherited map[string]int        // its listening sockets that are not in use here yet
+	offer     *handover.Offer       // where the process after this one asks
+	beside    int                   // processes of this router that run beside this one
+	heirs     int                   // of these, later ones that take clients
+	operators operators.File        // as last taken
+	later     bool                  // the clients' address is shared once this process serves
+	draining  bool                  // clients are sent away
+	drains    int                   // how often that began or ended
+	seen      map[string]uint64     // what teams had taken when they were last counted
 }
 
 // Setup is all that a router is told: by the platform, and by its operators.
@@ -91,8 +98,7 @@
 	conf := set.Platform
 	// Two at least: with one, the runtime's monitor finds none idle and takes it from the loop at each wait for events.
 	runtime.GOMAXPROCS(max(2, int(math.Ceil(conf.Cores))))
-	// Of the runtime's memory. The kernel's buffers of a thousand sockets may count as well, at some 64 KiB each.
-	debug.SetMemoryLimit(int64(conf.Memory) / 2)
+	confine(conf)
 	if err := sock.LogTo(log.With().Str("level", "warn").Logger()); err != nil {
 		return err
 	}
@@ -106,6 +112,9 @@
 	return s.loop.Run()
 }
 
+// confine bounds the runtime's memory. The kernel's buffers of a thousand sockets may count as well, at some 64 KiB each.
+func confine(conf config.Config) { debug.SetMemoryLimit(int64(conf.Memory) / 2) }
+
 // obey takes signals. Files are read here, off the loop.
 func (s *Service) obey(signals <-chan os.Signal, again func() (Setup, error)) {
 	for sig := range signals {
@@ -143,7 +152,7 @@
 		return nil, err
 	}
 	conf := set.Platform
-	s, c := &Service{conf: conf, log: log, loop: loop, module: module, loaded: 1, pools: map[string]*pool{},
+	s, c := &Service{conf: conf, operators: set.Operators, log: log, loop: loop, module: module, loaded: 1, pools: map[string]*pool{},
 		listeners: map[string]*sock.Listener{}, tiles: map[string]*tilefront.Server{}, out: map[string]bool{}, seen: map[string]uint64{}}, &conf
 	s.log.Info().Str("name", c.Name).Str("listen", c.Listen).Int("clients", c.Clients).Int("caches", c.Caches).
 		Int("open", c.Open).Msg("starting")
@@ -162,13 +171,13 @@
 	s.platform = s.newPool("", c.Settings, c.Caches, c.ConnectTimeout, stall(c.ConnectTimeout), c.ConnIdle, c.PerConnection, caches.Memcache)
 	s.broker = broker.New(s.loop.Now, c.Settings, s.platform.router, broker.Limits{Open: c.Open, Held: c.Held, Connections: c.Clients})
 	s.front = front.New(s.loop, s.broker, front.Limits{Connections: c.Clients, Spare: c.Spare})
+	s.succeed()
+	if err = s.open(); err != nil {
+		return nil, err
+	}
 	s.openBans()
 	s.platform.last = c.Known
 	s.platform.hear(logic.Disk, c.Known)
-	s.listener, err = s.loop.Listen(c.Listen, s.front.Room, s.front.At("", front.Memcache))
-	if err != nil {
-		return nil, err
-	}
 	s.platform.follow(c.Discovery)
 	s.contract(set)
 	s.loop.After(counting, s.count)
@@ -203,7 +212,11 @@
 		return
 	}
 	s.enter(Leaving)
-	s.loop.After(lingering, s.finish)
+	late := lingering
+	if s.heirs > 0 { // the next process takes what comes late
+		late = 0
+	}
+	s.loop.After(late, s.finish)
 	longest := 0.0
 	for _, t := range s.conf.Settings.TrafficTypes {
 		longest = max(longest, t.HardStop)
@@ -239,6 +252,7 @@
 			s.door.Close()
 		}
 		s.bans.Close()
+		s.part()
 		s.platform.stop()
 		for _, p := range s.pools {
 			p.stop()
--- a/internal/sock/listen.go
+++ b/internal/sock/listen.go
@@ -1,6 +1,7 @@
 package sock
 
 import (
+	"errors"
 	"net/netip"
 	"os"
 	"strconv"
@@ -18,6 +19,7 @@
 	op     *netpoll.FDOperator
 	room   func() bool
 	take   func(*Conn) Handler
+	away   bool // it accepts nothing now
 	closed bool
 }
 
@@ -31,10 +33,71 @@
 	if err != nil {
 		return nil, os.NewSyscallError("listen at "+addr, err)
 	}
-	s := &Listener{l: l, fd: fd, op: l.poll.Alloc(), room: room, take: take}
+	s := l.listener(fd, room, take)
+	return s, s.Resume()
+}
+
+// Adopt accepts, once Resume is called, at a socket that another process listens at, too.
+func (l *Loop) Adopt(fd int, room func() bool, take func(*Conn) Handler) (*Listener, error) {
+	if listens, err := unix.GetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_ACCEPTCONN); err != nil || listens == 0 {
+		unix.Close(fd)
+		return nil, errors.New("the socket handed over does not listen")
+	}
+	unix.SetNonblock(fd, true)
+	return l.listener(fd, room, take), nil
+}
+
+func (l *Loop) listener(fd int, room func() bool, take func(*Conn) Handler) *Listener {
+	s := &Listener{l: l, fd: fd, op: l.poll.Alloc(), room: room, take: take, away: true}
 	s.op.FD = fd
 	s.op.OnRead = func(netpoll.Poll) error { l.do(s.acceptAll); return nil }
-	return s, l.poll.Control(s.op, netpoll.PollReadable)
+	return s
+}
+
+// Held tells whether some process listens at an address, and if so why it cannot be shared with it.
+func Held(addr string) (held bool, err error) {
+	at, err := netip.ParseAddrPort(addr)
+	if err != nil {
+		return false, err
+	}
+	if err = tried(at, unix.SO_REUSEADDR); err != unix.EADDRINUSE {
+		return false, nil // what else is wrong is told by listening
+	}
+	return true, os.NewSyscallError("listen at "+addr, tried(at, unix.SO_REUSEPORT))
+}
+
+// tried binds a socket with an option and lets go of it.
+func tried(at netip.AddrPort, option int) error {
+	family, sa := sockaddr(at)
+	fd, err := unix.Socket(family, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return err
+	}
+	defer unix.Close(fd)
+	unix.SetsockoptInt(fd, unix.SOL_SOCKET, option, 1)
+	return unix.Bind(fd, sa)
+}
+
+// Descriptor gives a copy that another process may adopt; who has it closes it.
+func (s *Listener) Descriptor() (int, error) {
+	return unix.FcntlInt(uintptr(s.fd), unix.F_DUPFD_CLOEXEC, 0)
+}
+
+// Suspend accepts nothing more; what comes waits, for another process or for Resume.
+func (s *Listener) Suspend() {
+	if s != nil && !s.away && !s.closed {
+		s.away = true
+		s.l.poll.Control(s.op, netpoll.PollDetach)
+	}
+}
+
+// Resume accepts from now on.
+func (s *Listener) Resume() error {
+	if s == nil || !s.away || s.closed {
+		return nil
+	}
+	s.away = false
+	return s.l.poll.Control(s.op, netpoll.PollReadable)
 }
 
 func bound(at netip.AddrPort) (int, error) {
@@ -44,6 +107,7 @@
 		return 0, err
 	}
 	unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1)
+	unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEPORT, 1) // the next process joins, where it cannot have this socket
 	if err = unix.Bind(fd, sa); err == nil {
 		err = unix.Listen(fd, backlog())
 	}
@@ -65,7 +129,7 @@
 
 // acceptAll takes all connections that have come. Without room or descriptors it looks away for a moment.
 func (s *Listener) acceptAll() {
-	for !s.closed {
+	for !s.closed && !s.away {
 		if !s.room() {
 			s.lookAway()
 			return
@@ -93,15 +157,15 @@
 func (s *Listener) lookAway() {
 	s.l.poll.Control(s.op, netpoll.PollDetach)
 	s.l.After(0.02, func() { // a few of the shortest operations' time
-		if !s.closed {
+		if !s.closed && !s.away {
 			s.l.poll.Control(s.op, netpoll.PollReadable)
 		}
 	})
 }
 
-// Close accepts what has come so far and no more.
+// Close accepts what has come so far and no more; where it is suspended, what has come waits for who else listens.
 func (s *Listener) Close() {
-	if s.closed {
+	if s == nil || s.closed {
 		return
 	}
 	s.acceptAll()
