--- a/internal/caches/caches.go
+++ b/internal/caches/caches.go
@@ -163,7 +163,7 @@
 	}
 	var least *link
 	for _, l := range s.links {
-		if l.up && len(l.queue) < s.f.limits.PerConnection && (least == nil || len(l.queue) < len(least.queue)) {
+		if l.up && l.passage == nil && len(l.queue) < s.f.limits.PerConnection && (least == nil || len(l.queue) < len(least.queue)) {
 			least = l
 		}
 	}
--- a/internal/caches/link.go
+++ b/internal/caches/link.go
@@ -71,22 +71,23 @@
 	a.settle(how, router.Result{})
 	if a.link == nil {
 		a.on.leave(a)
-	} else {
+	} else if a.link.passage == nil { // else a long value is before it, which must not be cut off
 		a.link.broken()
 	}
 }
 
 // link is one connection to a cache server.
 type link struct {
-	on     *server
-	conn   *sock.Conn
-	timer  *sock.Timer // until it is up, then until a reply that has begun must have gone on
-	up     bool
-	wire   Wire
-	queue  []*attempt // out, in the order of their answers
-	rest   [][]byte   // not in the connection's buffer yet
-	length uint64     // of all that it was sent
-	since  float64    // idle since then
+	on      *server
+	conn    *sock.Conn
+	timer   *sock.Timer // until it is up, then until a reply that has begun must have gone on
+	up      bool
+	wire    Wire
+	queue   []*attempt // out, in the order of their answers
+	passage *passage   // of the first of them
+	rest    [][]byte   // not in the connection's buffer yet
+	length  uint64     // of all that it was sent
+	since   float64    // idle since then
 }
 
 // send writes an attempt's command.
@@ -168,6 +169,7 @@
 		}
 	}
 	l.queue = nil
+	l.cut()
 	l.close()
 	l.on.dial()
 }
@@ -195,15 +197,21 @@
 // Input reads replies.
 func (l *link) Input() {
 	for l.conn.In.Len() > 0 {
+		held := l.conn.In.Len()
 		if _, err := l.wire.Read(l.conn.In); err != nil {
 			l.Stray(err.Error())
 			return
 		}
+		if l.conn.In.Len() == held {
+			break // a long value that is not taken now
+		}
 		if !slices.Contains(l.on.links, l) {
 			return // a reply ended it
 		}
 	}
-	if l.wire.Begun() {
+	if l.passage != nil {
+		l.timer.Set(l.on.f.loop.Now() + silent)
+	} else if l.wire.Begun() {
 		l.timer.Set(l.on.f.loop.Now() + l.on.f.limits.Stall)
 	} else {
 		l.timer.Stop()
@@ -213,7 +221,9 @@
 // stalled takes that a reply does not go on: one that says more than it holds would be waited for until the hard
 // stop. What the loop has not come to read is no stall.
 func (l *link) stalled() {
-	if l.conn.Unread() {
+	if l.passage != nil && l.conn.In.Len() > 0 { // its taker has no room
+		l.timer.Set(l.on.f.loop.Now() + silent)
+	} else if l.conn.Unread() {
 		l.timer.Set(l.on.f.loop.Now() + l.on.f.limits.Stall)
 	} else {
 		l.Stray("a part")
--- a/internal/caches/memcache.go
+++ b/internal/caches/memcache.go
@@ -24,6 +24,9 @@
 	Due() (op *router.Operation, due bool)                     // whose reply is due; nil for a probe
 	Answered(how logic.Outcome, with router.Result, more bool) // more: the connection can be used on
 	Stray(what string)                                         // nothing that was asked for; the connection ends
+	Passing(length int)                                        // settles with a long value, whose bytes follow
+	Part(part []byte) int                                      // some of them, as many as are taken
+	Passed()                                                   // that was all
 }
 
 // Memcache is the platform's protocol: the meta commands of the memcache text protocol.
@@ -69,6 +72,21 @@
 	m.l.Answered(logic.Finished, router.Result{Value: value}, true)
 }
 
+// Long takes the beginning of a read's long answer.
+func (m *memcache) Long(id string, length int) {
+	if op := m.due(); id == "" || op.ID != id || op.Write {
+		m.l.Stray("VA " + id)
+		return
+	}
+	m.l.Passing(length)
+}
+
+// Part takes the next bytes of a long answer.
+func (m *memcache) Part(part []byte) int { return m.l.Part(part) }
+
+// LongEnd takes the end of a long answer.
+func (m *memcache) LongEnd() { m.l.Passed() }
+
 // Stored takes a write's answer.
 func (m *memcache) Stored(id, receipt string) {
 	if op := m.due(); id == "" || op.ID != id || !op.Write {
--- /dev/null
+++ b/internal/caches/passage.go
@@ -0,0 +1,100 @@
+package caches
+
+import (
+	"bendtrestle/internal/router"
+	"bendtrestle/logic"
+)
+
+// silent is how long a cache server may give nothing of a long value: peers take seconds, and one that is cut off never goes on.
+const silent = 5
+
+// passage is a long value on its way from a server's connection to whoever takes it.
+type passage struct {
+	l      *link // nil once it is whole or broken
+	length int
+	to     router.Taker
+	ended  func(router.Taker) // what became of it, where nobody had pulled yet
+}
+
+// Length is how many bytes it has.
+func (p *passage) Length() int { return p.length }
+
+// Pull hands it on from now on.
+func (p *passage) Pull(to router.Taker) {
+	if p.to = to; p.ended != nil {
+		p.end(p.ended)
+		return
+	}
+	p.More()
+}
+
+// More goes on reading.
+func (p *passage) More() {
+	if l := p.l; l != nil && p.to != nil {
+		l.Input()
+		if p.l != nil && l.conn.In.Room() > 0 {
+			l.conn.Resume()
+		}
+	}
+}
+
+// Drop gives it up: the rest is of no use, and its connection ends.
+func (p *passage) Drop() {
+	p.to, p.ended = nil, func(router.Taker) {}
+	if p.l != nil {
+		p.l.broken()
+	}
+}
+
+// end tells what became of it, once there is somebody to tell.
+func (p *passage) end(how func(router.Taker)) {
+	if p.ended = how; p.to != nil {
+		to := p.to
+		p.to = nil
+		how(to)
+	}
+}
+
+// Passing settles the attempt whose turn it is at the first bytes of a long value. It stays first on its connection until all of
+// that has come.
+func (l *link) Passing(length int) {
+	if len(l.queue) == 0 || !l.queue[0].written() {
+		l.broken()
+		return
+	}
+	l.passage = &passage{l: l, length: length}
+	l.queue[0].settle(logic.Finished, router.Result{Long: l.passage})
+}
+
+// Part takes the next bytes, as far as they can be handed on.
+func (l *link) Part(part []byte) int {
+	if l.passage == nil || l.passage.to == nil {
+		return 0
+	}
+	return l.passage.to.Part(part)
+}
+
+// Passed takes the end of a long value. An answer behind it that nobody waits for any more leaves the connection of no use.
+func (l *link) Passed() {
+	p := l.passage
+	if p == nil {
+		return
+	}
+	l.passage, p.l = nil, nil
+	l.queue = l.queue[1:]
+	l.on.f.loop.Later(func() { p.end(router.Taker.Whole) })
+	switch {
+	case len(l.queue) == 0:
+		l.on.free(l)
+	case l.queue[0].done:
+		l.broken()
+	}
+}
+
+// cut tells that the rest of a long value will not come.
+func (l *link) cut() {
+	if p := l.passage; p != nil {
+		l.passage, p.l = nil, nil
+		l.on.f.loop.Later(func() { p.end(router.Taker.Broken) })
+	}
+}
--- a/internal/caches/tilewire/tilewire_test.go
+++ b/internal/caches/tilewire/tilewire_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"bendtrestle/internal/caches"
 	"bendtrestle/internal/ring"
 	"bendtrestle/internal/router"
 	"bendtrestle/internal/tiles"
@@ -11,9 +12,10 @@
 
 // link notes how what was asked for ended.
 type link struct {
-	op    *router.Operation
-	ended []logic.Outcome
-	stray int
+	caches.Link // for what tiles have no use for
+	op          *router.Operation
+	ended       []logic.Outcome
+	stray       int
 }
 
 func (l *link) Due() (*router.Operation, bool)                      { return l.op, l.op != nil }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -20,7 +20,7 @@
 const (
 	unread    = 32   // answers owed to one connection before its next commands are left in the socket
 	patience  = 10   // seconds without a byte of an answer being read; several times the longest hard stops seen
-	begins    = 2    // seconds for a command to become whole, or to come at all: clients connect to send at once
+	begins    = 2.4  // seconds for a command to become whole, or to come at all: clients may take 2 for it
 	settled   = 1    // seconds without a byte, after which a connection that has been used is not needed now
 	arriving  = 0.1  // the same where a place is sought, also for one that has just come: it means to send at once
 	kept      = 2    // seconds that an idle connection is kept; where half of the places are taken, settled
@@ -51,6 +51,7 @@
 	clients map[*Client]bool
 	tallies map[string]*Tally // by the traffic type that clients name
 	open    int               // operations taken and not ended
+	passing int               // long values on their way
 	ready   bool              // mn is answered MN
 	drain   bool              // it is not, for clients are sent away
 	leaving bool              // connections are closed as they become idle
@@ -169,6 +170,9 @@
 // Open is how many operations were taken and have not ended: their last byte has not left.
 func (f *Front) Open() int { return f.open }
 
+// Passing is how many long values are on their way to clients.
+func (f *Front) Passing() int { return f.passing }
+
 // Clients is how many are connected.
 func (f *Front) Clients() int { return len(f.clients) }
 
@@ -229,6 +233,7 @@
 	useful   bool    // an operation of its was taken, or it asked whether the router serves
 	faults   int     // commands that can't be used
 	surplus  bool    // beyond the bound: declined and closed
+	pulls    bool    // the long value that is first is on its way
 	ending   bool    // nothing more is read, and it is closed once all is written
 }
 
@@ -237,6 +242,7 @@
 	text []byte
 	of   *answer
 	last bool
+	long router.Long // in place of a text: passed on from here
 }
 
 // hold counts bytes for a route; what is said from here is nobody's.
@@ -257,6 +263,7 @@
 	how       end
 	held      int // bytes of its value, until it is answered
 	parts     [][]byte
+	long      router.Long // between the two parts, what is too long to be held
 }
 
 // left counts an operation as its last byte leaves, or as its client does without it.
@@ -360,8 +367,42 @@
 	return true
 }
 
-// Finished passes on what a server made.
-func (a *answer) Finished(with router.Result) { a.give(a.c.codec.Finished(a.op, with)...) }
+// Finished passes on what a server made, or begins to.
+func (a *answer) Finished(with router.Result) {
+	a.long = with.Long
+	a.give(a.c.codec.Finished(a.op, with)...)
+}
+
+// Part passes on some of a long value.
+func (a *answer) Part(part []byte) int {
+	n := a.c.conn.Write(part)
+	if n > 0 {
+		a.c.used = a.c.f.loop.Now()
+	}
+	return n
+}
+
+// Whole ends a long value; what is owed behind it goes on.
+func (a *answer) Whole() {
+	c := a.c
+	if c.f.clients[c] {
+		c.f.passing--
+		c.pulls = false
+		c.rest = c.rest[1:]
+		c.Flushed()
+	}
+}
+
+// Broken ends the connection: only so its client can tell that the value is not whole.
+func (a *answer) Broken() {
+	if c := a.c; c.f.clients[c] {
+		a.how = errored
+		a.left(true)
+		c.f.passing--
+		c.rest = c.rest[2:] // with the end of the value
+		c.close()
+	}
+}
 
 // Declined tells that trying again is harmless.
 func (a *answer) Declined(after float64) {
@@ -391,7 +432,11 @@
 	for len(c.answers) > 0 && c.answers[0].parts != nil {
 		first := c.answers[0]
 		for i, p := range first.parts {
-			c.rest = append(c.rest, piece{p, first, i == len(first.parts)-1})
+			c.rest = append(c.rest, piece{text: p, of: first, last: i == len(first.parts)-1})
+			if i == 0 && first.long != nil {
+				c.rest = append(c.rest, piece{of: first, long: first.long})
+				c.f.passing++
+			}
 		}
 		c.answers = c.answers[1:]
 	}
@@ -400,6 +445,9 @@
 
 // drop forgets an answer's text.
 func (c *Client) drop(a *answer) {
+	if a.long != nil {
+		a.long.Drop()
+	}
 	for _, p := range a.parts {
 		hold(a.route, -len(p))
 	}
@@ -409,6 +457,10 @@
 func (c *Client) Flushed() {
 	for len(c.rest) > 0 {
 		p := &c.rest[0]
+		if p.long != nil {
+			c.pass(p)
+			return
+		}
 		n := c.conn.Write(p.text)
 		if hold(p.of.route, -n); n > 0 {
 			c.used = c.f.loop.Now()
@@ -432,6 +484,20 @@
 	}
 }
 
+// pass goes on with the long value that is first.
+func (c *Client) pass(p *piece) {
+	if long, a := p.long, p.of; c.pulls {
+		long.More()
+	} else {
+		c.pulls = true
+		c.f.loop.Later(func() {
+			if c.f.clients[c] {
+				long.Pull(a)
+			}
+		})
+	}
+}
+
 func (c *Client) goOn() {
 	if c.f.clients[c] && c.conn.In.Len() > 0 {
 		c.Input()
@@ -470,6 +536,11 @@
 		f.desk.Gone(c.listener)
 	}
 	for _, p := range c.rest {
+		if p.long != nil {
+			f.passing--
+			p.long.Drop()
+			continue
+		}
 		if hold(p.of.route, -len(p.text)); p.last {
 			p.of.left(false)
 		}
--- a/internal/front/memcache.go
+++ b/internal/front/memcache.go
@@ -84,6 +84,9 @@
 	if op.Write {
 		return [][]byte{meta.AppendStored(nil, op.ID, with.Receipt)}
 	}
+	if with.Long != nil { // its bytes and its end follow
+		return [][]byte{meta.AppendValue(nil, op.ID, with.Long.Length()), []byte("\r\n")}
+	}
 	return [][]byte{meta.AppendValue(nil, op.ID, len(with.Value)), with.Value, []byte("\r\n")}
 }
 
--- a/internal/meta/meta.go
+++ b/internal/meta/meta.go
@@ -16,6 +16,7 @@
 	lineBound  = 2048
 	keyBound   = 250
 	ValueBound = 64 << 10
+	LongBound  = 4 << 20 // of a reply's value, which is passed on as it comes
 	firstPart  = 4 << 10 // of a value's memory: the rest as its bytes come, for who only says a length gets none
 )
 
--- a/internal/meta/meta_test.go
+++ b/internal/meta/meta_test.go
@@ -21,6 +21,9 @@
 func (c *calls) Noop()                         { c.note("noop") }
 func (c *calls) Bad(answer string)             { c.note("bad %s", answer) }
 func (c *calls) Value(id string, value []byte) { c.note("value %s %q", id, value) }
+func (c *calls) Long(id string, length int)    { c.note("long %s %d", id, length) }
+func (c *calls) Part(part []byte) int          { return len(part) }
+func (c *calls) LongEnd()                      { c.note("end") }
 func (c *calls) Stored(id, receipt string)     { c.note("stored %s %s", id, receipt) }
 func (c *calls) Busy(int)                      { c.note("busy") }
 func (c *calls) Failed()                       { c.note("failed") }
@@ -102,6 +105,11 @@
 		"VA 3 Oa\r\nhello":                                      "a value does not end where its length says",
 		"VA " + strings.Repeat("x", 2049):                       "a line is too long",
 		"VA 65536 Oa\r\nhe":                                     "",
+		"VA 65537 Oa\r\n":                                       "",
+		"VA 65537 Oa\r\nhe":                                     "long a 65537",
+		"VA 65537 Oa\r\n" + strings.Repeat("x", 65537) + "\r\nMN\r\n": "long a 65537; end; ready",
+		"VA 65537 Oa\r\n" + strings.Repeat("x", 65537) + "\rx":        "a value does not end where its length says",
+		"VA 4194305 Oa\r\nhe": "a value is too long",
 	} {
 		inPieces(t, stream, want, replies)
 	}
--- a/internal/meta/reply.go
+++ b/internal/meta/reply.go
@@ -12,6 +12,9 @@
 // Replies is called with a cache server's replies, in the order of the commands.
 type Replies interface {
 	Value(id string, value []byte)
+	Long(id string, length int) // a value of more than ValueBound begins
+	Part(part []byte) int       // takes the next bytes of it, as many as it has room for
+	LongEnd()                   // all of it has come
 	Stored(id, receipt string)
 	Busy(after int) // milliseconds, 0 if it does not say
 	Failed()
@@ -20,7 +23,10 @@
 }
 
 // ReplyReader reads a cache server's replies.
-type ReplyReader struct{ cutter }
+type ReplyReader struct {
+	cutter
+	left int // bytes of a long value, with its CRLF, that have not come
+}
 
 // Begun tells whether a reply has begun and is not whole.
 func (r *ReplyReader) Begun() bool { return r.begun() }
@@ -33,6 +39,9 @@
 // Read hands on the next reply; false while it is not whole. After an error nothing more can be read. Noise is told
 // by its first bytes: whoever waits for the end of a line that never ends waits until its hard stop.
 func (r *ReplyReader) Read(in *ring.Buffer, to Replies) (bool, error) {
+	if r.left > 0 {
+		return r.pass(in, to)
+	}
 	verb, fields, whole, err := r.readLine(in)
 	may := func(begin string) bool { n := min(len(begin), len(r.line)); return string(r.line[:n]) == begin[:n] }
 	if err == nil && !slices.ContainsFunc(begins, may) {
@@ -42,6 +51,13 @@
 		return false, err
 	}
 	switch {
+	case verb == "VA" && len(fields) >= 2 && long(fields[1]) > 0:
+		if in.Len() == 0 { // a head alone is no beginning: another try is still possible
+			return false, nil
+		}
+		r.left = long(fields[1]) + len("\r\n")
+		to.Long(flag(fields[2:], 'O'), long(fields[1]))
+		return r.pass(in, to)
 	case verb == "VA" && len(fields) >= 2:
 		value, whole, err := r.readValue(in, fields[1])
 		if !whole {
@@ -67,6 +83,42 @@
 	return true, nil
 }
 
+// long gives a length that makes a value long, else 0.
+func long(stated []byte) int {
+	if n, err := strconv.ParseUint(string(stated), 10, 31); err == nil && n > ValueBound && n <= LongBound {
+		return int(n)
+	}
+	return 0
+}
+
+// pass hands on what has come of a long value, as far as it is taken.
+func (r *ReplyReader) pass(in *ring.Buffer, to Replies) (bool, error) {
+	const framing = "\r\n"
+	for r.left > 0 {
+		var parts [2][]byte
+		held := in.Held(parts[:0])
+		if len(held) == 0 {
+			return false, nil
+		}
+		if part := held[0]; r.left > len(framing) {
+			n := to.Part(part[:min(len(part), r.left-len(framing))])
+			if n == 0 {
+				return false, nil
+			}
+			in.Drop(n)
+			r.left -= n
+		} else if part[0] != framing[len(framing)-r.left] {
+			return false, errFrame
+		} else {
+			in.Drop(1)
+			r.left--
+		}
+	}
+	r.next()
+	to.LongEnd()
+	return true, nil
+}
+
 // AppendValue writes the line before a value.
 func AppendValue(to []byte, id string, length int) []byte {
 	to = strconv.AppendInt(append(to, "VA "...), int64(length), 10)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -65,6 +65,22 @@
 	Receipt string
 	Status  int    // where the protocol has one
 	Head    string // what is passed on beside the value, as the protocol writes it
+	Long    Long   // in place of a value that is too long to be held; nil: there is none
+}
+
+// Long is a value on its way from a cache server, from its first bytes on.
+type Long interface {
+	Length() int
+	Pull(to Taker) // hands it on from now on
+	More()         // its taker has room again
+	Drop()         // nobody wants it
+}
+
+// Taker takes a long value. It is not called back before the call that told of its room has returned, but for Part.
+type Taker interface {
+	Part(part []byte) int // takes as much as there is room for
+	Whole()
+	Broken() // the rest will not come
 }
 
 // Client takes the one final answer to an operation.
@@ -227,6 +243,8 @@
 		r.Counts.Finished++
 		o.answer().Finished(with)
 		o.tell(Finished, NoReason)
+	} else if with.Long != nil {
+		with.Long.Drop()
 	}
 	if o.Account != nil {
 		o.Account.Took(now - x.began)
--- /dev/null
+++ b/internal/service/long_test.go
@@ -0,0 +1,137 @@
+package service
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+)
+
+const long = 4 << 20
+
+// lengthy gives a long value, all of it or a part, or whatever else a key says.
+func lengthy(conn net.Conn, id, key string) {
+	value := bytes.Repeat([]byte("0123456789abcdef"), long/16)
+	switch key {
+	case "short":
+		fmt.Fprintf(conn, "VA 2 O%s\r\nhi\r\n", id)
+		return
+	case "head", "half", "silent":
+		fmt.Fprintf(conn, "VA %d O%s\r\n%s", long, id, value[:map[string]int{"head": 0, "half": long / 2, "silent": 100}[key]])
+		if key != "silent" {
+			conn.Close()
+		}
+		return
+	case "frame":
+		fmt.Fprintf(conn, "VA %d O%s\r\n%s!!", long, id, value)
+		return
+	}
+	fmt.Fprintf(conn, "VA %d O%s\r\n", long, id)
+	for piece := 1; len(value) > 0; piece = piece*3%50000 + 1 { // of any size
+		n := min(piece, len(value))
+		conn.Write(value[:n])
+		if value = value[n:]; key == "slow" && piece < 100 {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	io.WriteString(conn, "\r\n")
+}
+
+// whole reads a long answer and tells what is wrong with it.
+func whole(in *bufio.Reader, id string) error {
+	if line, err := in.ReadString('\n'); line != fmt.Sprintf("VA %d O%s\r\n", long, id) {
+		return fmt.Errorf("it begins %q, %v", line, err)
+	}
+	value := make([]byte, long+2)
+	if n, err := io.ReadFull(in, value); err != nil {
+		return fmt.Errorf("%v after %d bytes", err, n)
+	}
+	if want := append(bytes.Repeat([]byte("0123456789abcdef"), long/16), "\r\n"...); !bytes.Equal(value, want) {
+		return fmt.Errorf("it is another value")
+	}
+	return nil
+}
+
+// asking gives a connection on which a key was asked for.
+func asking(t *testing.T, addr, id, key string) (net.Conn, *bufio.Reader) {
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	conn.SetDeadline(time.Now().Add(15 * time.Second))
+	fmt.Fprintf(conn, "mg %s v O%s Pc=t,d=1900\r\n", key, id)
+	return conn, bufio.NewReader(conn)
+}
+
+// Long values come whole, in order with others, to clients that read slowly or late; there are more of them at once than may be
+// held.
+func TestLongValues(t *testing.T) {
+	s, addr, _ := running(t, giving(t, lengthy))
+	t.Cleanup(func() { s.loop.Post(s.end) })
+	ends := make(chan error)
+	for i := range 20 {
+		id := fmt.Sprint("a", i)
+		conn, in := asking(t, addr, id, []string{"fast", "slow"}[i%2])
+		fmt.Fprintf(conn, "mg short v Ob%d Pc=t,d=1900\r\n", i)
+		go func() {
+			time.Sleep(time.Duration(i) * 50 * time.Millisecond) // as long as the others wait in the router
+			err := whole(in, id)
+			if line, _ := in.ReadString('\n'); err == nil && line != fmt.Sprintf("VA 2 Ob%d\r\n", i) {
+				err = fmt.Errorf("behind it comes %q", line)
+			}
+			ends <- err
+		}()
+	}
+	for range 20 {
+		if err := <-ends; err != nil {
+			t.Error(err)
+		}
+	}
+	until(t, "rest", s, func() bool { return s.front.Open() == 0 && s.front.Passing() == 0 })
+}
+
+// One that breaks off ends its client's connection, so that it can tell; one that never begins leaves another try possible; and a
+// client that goes away ends what it asked for.
+func TestLongValueBreaksOff(t *testing.T) {
+	s, addr, _ := running(t, giving(t, lengthy))
+	t.Cleanup(func() { s.loop.Post(s.end) })
+	for _, key := range []string{"half", "frame"} {
+		_, in := asking(t, addr, key, key)
+		if err := whole(in, key); err == nil || !strings.Contains(err.Error(), "EOF") && !strings.Contains(err.Error(), "reset") {
+			t.Errorf("%s: %v", key, err)
+		}
+	}
+	_, in := asking(t, addr, "head", "head")
+	if line, err := in.ReadString('\n'); !strings.HasPrefix(line, "SERVER_ERROR") {
+		t.Errorf("with a head alone it answers %q, %v", line, err)
+	}
+	conn, in := asking(t, addr, "left", "silent")
+	in.ReadString('\n')
+	conn.Close()
+	until(t, "rest", s, func() bool { return s.front.Open() == 0 && s.front.Passing() == 0 })
+	if got := ask(addr, "mg short v Oz Pc=t,d=1900"); got != "VA 2 Oz" {
+		t.Errorf("afterwards it answers %q", got)
+	}
+}
+
+// A long value that is on its way as the router is told to end comes whole.
+func TestLongValueAtTheEnd(t *testing.T) {
+	s, addr, ended := running(t, giving(t, lengthy))
+	_, in := asking(t, addr, "a", "fast")
+	in.Peek(1)
+	s.loop.Post(s.leave)
+	time.Sleep(2800 * time.Millisecond) // beyond the longest hard stop and its margin
+	if err := whole(in, "a"); err != nil {
+		t.Error(err)
+	}
+	select {
+	case <-ended:
+	case <-time.After(5 * time.Second):
+		t.Error("the router does not end")
+	}
+}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -46,6 +46,7 @@
 const (
 	lingering = 0.5 // new connections go on coming for up to 0.4 s after SIGTERM
 	margin    = 0.7 // SIGKILL comes no sooner than the longest hard stop and this after SIGTERM
+	passing   = 30  // beyond that, for long values: 4 MiB to a client that takes seconds
 	counting  = 10  // between two lines of counts in the log
 	mostShown = 20  // teams in each: those that took operations since the last, as many as a person reads
 	talking   = 0.1 // between two looks whether the other routers are to be told of contracts
@@ -221,7 +222,16 @@
 	for _, t := range s.conf.Settings.TrafficTypes {
 		longest = max(longest, t.HardStop)
 	}
-	s.loop.After(max(longest, s.broker.LongestStop())+margin, s.end)
+	s.loop.After(max(longest, s.broker.LongestStop())+margin, func() { s.expire(s.loop.Now() + passing) })
+}
+
+// expire ends the router whatever is open, but for long values on their way: what is killed meanwhile would have been cut off.
+func (s *Service) expire(latest float64) {
+	if s.front.Passing() == 0 || s.loop.Now() > latest {
+		s.end()
+		return
+	}
+	s.loop.After(0.1, func() { s.expire(latest) })
 }
 
 // finish takes no more connections and closes those that are idle, as they become so.
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -21,6 +21,14 @@
 
 // fleet is one cache server and the list service that names it; a read is answered after a while.
 func fleet(t *testing.T, while time.Duration) (discovery string) {
+	return giving(t, func(conn net.Conn, id, _ string) {
+		time.Sleep(while)
+		fmt.Fprintf(conn, "VA 2 O%s h1\r\nhi\r\n", id)
+	})
+}
+
+// giving is one cache server that answers commands by their ids and keys, and the list service that names it.
+func giving(t *testing.T, give func(conn net.Conn, id, key string)) (discovery string) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -34,10 +42,9 @@
 			}
 			go func() {
 				for in := bufio.NewScanner(conn); in.Scan(); {
-					time.Sleep(while)
 					for _, f := range strings.Fields(in.Text()) {
 						if f[0] == 'O' {
-							fmt.Fprintf(conn, "VA 2 %s h1\r\nhi\r\n", f)
+							give(conn, f[1:], strings.Fields(in.Text())[1])
 						}
 					}
 				}
--- a/internal/standin/clientspeech.go
+++ b/internal/standin/clientspeech.go
@@ -24,6 +24,8 @@
 type memcacheClient struct {
 	c      *clientConn
 	reader meta.ReplyReader
+	long   string // the id of a long value that is on its way
+	sum    uint32 // of what has come of it
 }
 
 func (m *memcacheClient) read(in *ring.Buffer) (bool, error) { return m.reader.Read(in, m) }
@@ -56,6 +58,23 @@
 	}
 }
 
+// Long takes the beginning of a long value.
+func (m *memcacheClient) Long(id string, _ int) { m.long, m.sum = id, 0 }
+
+// Part takes some of a long value.
+func (m *memcacheClient) Part(part []byte) int {
+	m.sum = crc32.Update(m.sum, crc32.IEEETable, part)
+	return len(part)
+}
+
+// LongEnd takes a read's long answer.
+func (m *memcacheClient) LongEnd() {
+	if m.c.due(m.long) {
+		m.c.try.Got = m.sum
+		m.c.answered(Finished)
+	}
+}
+
 // Stored takes a write's answer.
 func (m *memcacheClient) Stored(id, receipt string) {
 	if m.c.due(id) {
