--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -15,12 +15,15 @@
 type Limits struct {
 	Connections int // beyond these, idle ones make room, else the new one is declined and closed
 	Spare       int // so many beyond them are accepted to be declined
+	Arriving    int // bytes set apart for long writes on their way
 }
 
 const (
 	unread    = 32   // answers owed to one connection before its next commands are left in the socket
 	patience  = 10   // seconds without a byte of an answer being read; several times the longest hard stops seen
 	begins    = 2.4  // seconds for a command to become whole, or to come at all: clients may take 2 for it
+	standing  = 5    // seconds without a byte of a long write's body: clients take seconds to write
+	lasting   = 30   // seconds for all of it
 	settled   = 1    // seconds without a byte, after which a connection that has been used is not needed now
 	arriving  = 0.1  // the same where a place is sought, also for one that has just come: it means to send at once
 	kept      = 2    // seconds that an idle connection is kept; where half of the places are taken, settled
@@ -45,18 +48,19 @@
 
 // Front is all clients.
 type Front struct {
-	loop    *sock.Loop
-	desk    router.Desk
-	limits  Limits
-	clients map[*Client]bool
-	tallies map[string]*Tally // by the traffic type that clients name
-	open    int               // operations taken and not ended
-	passing int               // long values on their way
-	ready   bool              // mn is answered MN
-	drain   bool              // it is not, for clients are sent away
-	leaving bool              // connections are closed as they become idle
-	salt    maphash.Seed
-	ids     [recent]struct {
+	loop     *sock.Loop
+	desk     router.Desk
+	limits   Limits
+	clients  map[*Client]bool
+	tallies  map[string]*Tally // by the traffic type that clients name
+	open     int               // operations taken and not ended
+	passing  int               // long values on their way
+	arriving int               // bytes set apart for long writes
+	ready    bool              // mn is answered MN
+	drain    bool              // it is not, for clients are sent away
+	leaving  bool              // connections are closed as they become idle
+	salt     maphash.Seed
+	ids      [recent]struct {
 		hash  uint64
 		until float64
 	}
@@ -103,7 +107,7 @@
 			if now-c.used > patience {
 				c.close()
 			}
-		case idle && c.codec.Begun() && now-c.began > begins:
+		case idle && c.codec.Begun() && now-c.began > begins && (!c.lengthy || now-c.used > standing || now-c.began > lasting):
 			c.ending = true
 			c.Say(c.codec.Unfinished())
 		case idle && !c.useful && now-c.came > begins, c.surplus && c.idle(), f.leaving && c.useful && c.idle(),
@@ -234,6 +238,8 @@
 	faults   int     // commands that can't be used
 	surplus  bool    // beyond the bound: declined and closed
 	pulls    bool    // the long value that is first is on its way
+	arriving int     // bytes set apart for the long write that it sends
+	lengthy  bool    // it sends one
 	ending   bool    // nothing more is read, and it is closed once all is written
 }
 
@@ -333,6 +339,23 @@
 	a.give(text)
 }
 
+// Reserve sets memory apart for a long write that begins, if there is any; it may take its time either way.
+func (c *Client) Reserve(bytes int) bool {
+	c.lengthy = true
+	if c.f.arriving+bytes > c.f.limits.Arriving {
+		return false
+	}
+	c.f.arriving += bytes
+	c.arriving += bytes
+	return true
+}
+
+// Arrived gives back what was set apart: the command is over.
+func (c *Client) Arrived() {
+	c.f.arriving -= c.arriving
+	c.arriving, c.lengthy = 0, false
+}
+
 // Route tells who takes an operation of this client.
 func (c *Client) Route(tenant, key string) router.Route {
 	return c.f.desk.Route(c.listener, tenant, key)
@@ -532,6 +555,7 @@
 		return
 	}
 	delete(f.clients, c)
+	c.Arrived()
 	if c.placed {
 		f.desk.Gone(c.listener)
 	}
--- a/internal/front/memcache.go
+++ b/internal/front/memcache.go
@@ -31,6 +31,7 @@
 // Set takes a write.
 func (m *memcache) Set(key, id, flags, figures string, value []byte) {
 	m.take(&router.Operation{Key: key, ID: id, Flags: flags, Figures: figures, Write: true, Value: value})
+	m.c.Arrived()
 }
 
 // Noop tells whether the router serves.
@@ -42,8 +43,20 @@
 	}
 }
 
+// Reserve sets memory apart for a long write.
+func (m *memcache) Reserve(length int) bool { return m.c.Reserve(length) }
+
+// Refused takes the end of a long write for which there was no memory.
+func (m *memcache) Refused() {
+	m.c.Say(meta.AppendBusy(nil, 0))
+	m.c.Arrived()
+}
+
 // Bad takes a command that cannot be used.
-func (m *memcache) Bad(text string) { m.c.Bad([]byte(text + "\r\n")) }
+func (m *memcache) Bad(text string) {
+	m.c.Bad([]byte(text + "\r\n"))
+	m.c.Arrived()
+}
 
 func (m *memcache) take(op *router.Operation) {
 	op.Kind, _ = meta.Figure(op.Figures, "c")
--- a/internal/meta/command.go
+++ b/internal/meta/command.go
@@ -15,16 +15,27 @@
 	Set(key, id, flags, figures string, value []byte)
 	Noop()
 	Bad(answer string) // a command that can't be used, and what its sender is told
+
+	// Reserve sets memory apart for a value of more than ValueBound, which begins; false: there is none, and it is skipped.
+	Reserve(length int) bool
+	Refused() // such a value has been skipped
 }
 
 // CommandReader reads a client's commands.
-type CommandReader struct{ cutter }
+type CommandReader struct {
+	cutter
+	reserved bool // there is memory for the long value at hand
+	skip     int  // bytes of one for which there was none
+}
 
 // Begun tells whether a command has begun and is not whole.
 func (r *CommandReader) Begun() bool { return r.begun() }
 
 // Read hands on the next command; false while it is not whole. After an error nothing more can be read.
 func (r *CommandReader) Read(in *ring.Buffer, to Commands) (bool, error) {
+	if r.skip > 0 {
+		return r.pass(in, to), nil
+	}
 	verb, fields, whole, err := r.readLine(in)
 	if !whole {
 		return false, err
@@ -39,7 +50,13 @@
 			to.Get(string(fields[1]), id, flags, figures)
 		}
 	case verb == "ms" && len(fields) >= 3:
-		value, whole, err := r.readValue(in, fields[2])
+		if n := long(fields[2]); n > 0 && !r.reserved {
+			if r.reserved = to.Reserve(n); !r.reserved {
+				r.skip = n + len("\r\n")
+				return r.pass(in, to), nil
+			}
+		}
+		value, whole, err := r.readValue(in, fields[2], LongBound)
 		if !whole {
 			return false, err
 		}
@@ -52,9 +69,22 @@
 		to.Bad("ERROR")
 	}
 	r.next()
+	r.reserved = false
 	return true, nil
 }
 
+// pass skips what has come of a value for which there is no memory.
+func (r *CommandReader) pass(in *ring.Buffer, to Commands) bool {
+	n := min(in.Len(), r.skip)
+	in.Drop(n)
+	if r.skip -= n; r.skip > 0 {
+		return false
+	}
+	r.next()
+	to.Refused()
+	return true
+}
+
 func about(key []byte, all [][]byte) (id, flags, figures, fault string) {
 	id, figures = flag(all, 'O'), flag(all, 'P')
 	others := slices.DeleteFunc(slices.Clone(all), func(f []byte) bool { return f[0] == 'P' })
--- a/internal/meta/meta.go
+++ b/internal/meta/meta.go
@@ -11,12 +11,12 @@
 	"bendtrestle/internal/ring"
 )
 
-// The bounds of what is taken in; the protocol's values hold at most 64 KiB.
+// The bounds of what is taken in. Up to ValueBound a value is held without asking.
 const (
 	lineBound  = 2048
 	keyBound   = 250
 	ValueBound = 64 << 10
-	LongBound  = 4 << 20 // of a reply's value, which is passed on as it comes
+	LongBound  = 4 << 20 // of a long one: a reply's is passed on as it comes, a command's needs memory set apart
 	firstPart  = 4 << 10 // of a value's memory: the rest as its bytes come, for who only says a length gets none
 )
 
@@ -61,12 +61,12 @@
 }
 
 // readValue gives the value behind a line, of the length that the line states, or false while it is not whole.
-func (c *cutter) readValue(in *ring.Buffer, stated []byte) (value []byte, whole bool, err error) {
+func (c *cutter) readValue(in *ring.Buffer, stated []byte, bound uint64) (value []byte, whole bool, err error) {
 	length, err := strconv.ParseUint(string(stated), 10, 31)
 	switch {
 	case err != nil:
 		return nil, false, errLength
-	case length > ValueBound:
+	case length > bound:
 		return nil, false, errValue
 	}
 	end := int(length) + len("\r\n")
--- a/internal/meta/reply.go
+++ b/internal/meta/reply.go
@@ -59,7 +59,7 @@
 		to.Long(flag(fields[2:], 'O'), long(fields[1]))
 		return r.pass(in, to)
 	case verb == "VA" && len(fields) >= 2:
-		value, whole, err := r.readValue(in, fields[1])
+		value, whole, err := r.readValue(in, fields[1], ValueBound)
 		if !whole {
 			return false, err
 		}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -171,7 +171,7 @@
 	c.Settings.Apart = len(set.Operators.Teams) > 0
 	s.platform = s.newPool("", c.Settings, c.Caches, c.ConnectTimeout, stall(c.ConnectTimeout), c.ConnIdle, c.PerConnection, caches.Memcache)
 	s.broker = broker.New(s.loop.Now, c.Settings, s.platform.router, broker.Limits{Open: c.Open, Held: c.Held, Connections: c.Clients})
-	s.front = front.New(s.loop, s.broker, front.Limits{Connections: c.Clients, Spare: c.Spare})
+	s.front = front.New(s.loop, s.broker, front.Limits{Connections: c.Clients, Spare: c.Spare, Arriving: c.Held})
 	s.succeed()
 	if err = s.open(); err != nil {
 		return nil, err
--- a/internal/service/succession.go
+++ b/internal/service/succession.go
@@ -141,7 +141,7 @@
 	s.beside += more
 	c := s.bounds()
 	confine(c)
-	s.front.Limit(front.Limits{Connections: c.Clients, Spare: c.Spare})
+	s.front.Limit(front.Limits{Connections: c.Clients, Spare: c.Spare, Arriving: c.Held})
 	s.broker.Limit(broker.Limits{Open: c.Open, Held: c.Held, Connections: c.Clients})
 	parts := 0.0
 	for _, p := range s.operators.Pools {
--- a/internal/standin/speech.go
+++ b/internal/standin/speech.go
@@ -35,6 +35,12 @@
 // Set takes a write.
 func (m *memcacheSpeech) Set(key, id, _, figures string, _ []byte) { m.take(key, id, figures, true) }
 
+// Reserve takes any write.
+func (m *memcacheSpeech) Reserve(int) bool { return true }
+
+// Refused never comes, for none is.
+func (m *memcacheSpeech) Refused() {}
+
 // Noop answers a probe.
 func (m *memcacheSpeech) Noop() {
 	m.c.s.f.book.Probes++
