Hand the list as last told to the next process: a drain it was told of is kept

The list service may be silent just as a version changes, and the new process started from the list of its configuration, which can be older than a drain that the old one had been told of (rule 3).

--- a/internal/handover/sockets.go
+++ b/internal/handover/sockets.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"strings"
@@ -15,18 +17,23 @@
 )
 
 const (
-	hello     = "bendtrestle 1 listens"
-	serving   = "serving"
-	told      = "sockets"         // before the addresses of those that come with the line
-	answering = time.Second       // for the other process to answer on the same machine
-	mostHeirs = 3                 // processes that may ask at once: one takes over, others may try
-	mostSock  = 64                // of clients' addresses that go over
-	lineBound = mostSock*64 + 256 // of the line that names them
-	pathBound = 100               // bytes of a Unix socket's path, with room for what its first name has more
+	hello      = "bendtrestle 1 listens"
+	serving    = "serving"
+	knows      = "state"           // before the length of what a process knows
+	stateBound = 4 << 20           // a list of ten thousand servers
+	told       = "sockets"         // before the addresses of those that come with the line
+	answering  = time.Second       // for the other process to answer on the same machine
+	mostHeirs  = 3                 // processes that may ask at once: one takes over, others may try
+	mostSock   = 64                // of clients' addresses that go over
+	lineBound  = mostSock*64 + 256 // of the line that names them
+	pathBound  = 100               // bytes of a Unix socket's path, with room for what its first name has more
 )
 
 // Predecessor is the process that ran before, as the next one sees it.
-type Predecessor struct{ conn *net.UnixConn }
+type Predecessor struct {
+	State []byte // what it knows, in a form of the service's; empty: it said nothing
+	conn  *net.UnixConn
+}
 
 // Take asks the process that serves, if there is one, for its listening sockets; they come by their addresses.
 func Take(path string) (*Predecessor, map[string]int, error) {
@@ -39,23 +46,23 @@
 	}
 	conn := c.(*net.UnixConn)
 	conn.SetDeadline(time.Now().Add(answering))
-	sockets, err := ask(conn)
+	sockets, state, err := ask(conn)
 	if err != nil {
 		conn.Close()
 		return nil, nil, err
 	}
 	conn.SetDeadline(time.Time{})
-	return &Predecessor{conn}, sockets, nil
+	return &Predecessor{state, conn}, sockets, nil
 }
 
-func ask(conn *net.UnixConn) (map[string]int, error) {
+func ask(conn *net.UnixConn) (map[string]int, []byte, error) {
 	if _, err := fmt.Fprintln(conn, hello); err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	line, rights := make([]byte, lineBound), make([]byte, unix.CmsgSpace(4*mostSock))
 	n, m, _, _, err := conn.ReadMsgUnix(line, rights)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	var fds []int
 	messages, err := unix.ParseSocketControlMessage(rights[:m])
@@ -63,7 +70,8 @@
 		more, other := unix.ParseUnixRights(&message)
 		fds, err = append(fds, more...), errors.Join(err, other)
 	}
-	words := strings.Fields(string(line[:n]))
+	first, rest, _ := bytes.Cut(line[:n], []byte("\n"))
+	words := strings.Fields(string(first))
 	if err == nil && (len(words) == 0 || words[0] != told || len(words)-1 != len(fds)) {
 		err = errors.New("the process before speaks otherwise")
 	}
@@ -75,7 +83,23 @@
 			sockets[words[i+1]] = fd
 		}
 	}
-	return sockets, err
+	if err != nil {
+		return nil, nil, err
+	}
+	return sockets, state(bufio.NewReader(io.MultiReader(bytes.NewReader(rest), conn))), nil
+}
+
+// state reads what the process before knows; nothing of it if it does not come whole.
+func state(in *bufio.Reader) []byte {
+	var length int
+	if _, err := fmt.Fscanf(in, knows+" %d\n", &length); err != nil || length <= 0 || length > stateBound {
+		return nil
+	}
+	text := make([]byte, length)
+	if _, err := io.ReadFull(in, text); err != nil {
+		return nil
+	}
+	return text
 }
 
 // Serving tells it that this process takes clients from now on.
@@ -90,6 +114,7 @@
 // Heirs are told what becomes of processes that ask, on goroutines of their own.
 type Heirs interface {
 	Sockets() map[string]int // descriptors by their addresses, to be closed once they are sent
+	State() []byte           // what this process knows
 	Asked()                  // another process runs beside this one
 	Serves()                 // and takes clients from now on
 	Lost(served bool)        // it has ended
@@ -202,6 +227,9 @@
 	if _, _, err := conn.WriteMsgUnix([]byte(line+"\n"), unix.UnixRights(fds...), nil); err != nil {
 		return
 	}
+	if text := o.heirs.State(); len(text) <= stateBound {
+		fmt.Fprintf(conn, "%s %d\n%s", knows, len(text), text)
+	}
 	conn.SetDeadline(time.Time{})
 	o.heirs.Asked()
 	word, err := in.ReadString('\n')
--- a/internal/service/pool.go
+++ b/internal/service/pool.go
@@ -20,14 +20,15 @@
 	name     string
 	router   *router.Router
 	fleet    *caches.Fleet
-	onDemand bool            // its module asks for the list
-	listed   map[uint64]bool // the servers that the list holds
-	known    map[uint64]bool // servers that a list has named since the start, true: the present one does
-	told     uint64          // the list's generation as the list service last told it
-	last     discovery.List  // the list as the router's last run had it
-	pace     pace.Pace       // of calls to the list service that fail
-	watch    *watch          // whose news count
-	next     *watch          // that watch's successor, until it has told a whole list
+	onDemand bool                       // its module asks for the list
+	listed   map[uint64]bool            // the servers that the list holds
+	known    map[uint64]bool            // servers that a list has named since the start, true: the present one does
+	entries  map[uint64]discovery.Entry // the present list
+	told     uint64                     // the list's generation as the list service last told it
+	last     discovery.List             // the list as the router's last run had it
+	pace     pace.Pace                  // of calls to the list service that fail
+	watch    *watch                     // whose news count
+	next     *watch                     // that watch's successor, until it has told a whole list
 	log      zerolog.Logger
 }
 
@@ -39,7 +40,7 @@
 
 // newPool makes one without servers.
 func (s *Service) newPool(name string, set logic.Settings, connections int, connect, stall, idle float64, streams int, wire func(caches.Link) caches.Wire) *pool {
-	p := &pool{s: s, name: name, onDemand: set.OnRequest, listed: map[uint64]bool{}, known: map[uint64]bool{}, log: s.log}
+	p := &pool{s: s, name: name, onDemand: set.OnRequest, listed: map[uint64]bool{}, known: map[uint64]bool{}, entries: map[uint64]discovery.Entry{}, log: s.log}
 	// Where the list comes only when asked for, one service answers all routers, and a call that it turns away costs it too:
 	// waits from a sixteenth of the time within which it wants to be asked left it full for longer than from a quarter.
 	// Elsewhere it is an agent beside the router, and a watch goes on within 0.2 s.
@@ -129,11 +130,15 @@
 		for id := range p.known {
 			p.known[id] = false
 		}
+		clear(p.entries)
 	}
 	var members []logic.Member
 	for _, e := range l.Entries {
 		p.listed[e.ID] = e.Mode == logic.InService
 		p.named(e.ID, e.Mode != logic.Gone)
+		if p.entries[e.ID] = e; e.Mode == logic.Gone {
+			delete(p.entries, e.ID)
+		}
 		p.fleet.Listed(e.ID, e.Addr)
 		members = append(members, e.Member)
 	}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -177,8 +177,8 @@
 		return nil, err
 	}
 	s.openBans()
-	s.platform.last = c.Known
-	s.platform.hear(logic.Disk, c.Known)
+	s.platform.last = s.conf.Known
+	s.platform.hear(logic.Disk, s.conf.Known)
 	s.platform.follow(c.Discovery)
 	s.contract(set)
 	s.loop.After(counting, s.count)
--- a/internal/service/succession.go
+++ b/internal/service/succession.go
@@ -1,10 +1,12 @@
 package service
 
 import (
+	"encoding/json"
 	"maps"
 
 	"bendtrestle/internal/broker"
 	"bendtrestle/internal/config"
+	"bendtrestle/internal/discovery"
 	"bendtrestle/internal/front"
 	"bendtrestle/internal/handover"
 	"bendtrestle/internal/sock"
@@ -19,6 +21,7 @@
 		return // none, or it speaks no such thing: then the address is shared
 	}
 	s.before, s.inherited = before, sockets
+	s.learn(before.State)
 	s.log.Info().Int("sockets", len(sockets)).Msg("another process of this router serves; this one takes over once it can")
 	s.alongside(1)
 	go func() {
@@ -34,6 +37,22 @@
 	}()
 }
 
+// knowledge is what the next process of a router is told of the platform's pool, beside what the list service tells it: that may be
+// silent just now, and a drain that this process was told of must not be forgotten.
+type knowledge struct {
+	Discovery string
+	List      discovery.List
+}
+
+// learn takes what the process before this one knew, if it is of the same list service and no older than what the start says.
+func (s *Service) learn(state []byte) {
+	var k knowledge
+	if json.Unmarshal(state, &k) == nil && k.Discovery == s.conf.Discovery && len(k.List.Entries) > 0 &&
+		k.List.Generation >= s.conf.Known.Generation {
+		s.conf.Known = k.List
+	}
+}
+
 // open listens at the clients' address. Where another process serves there, this one joins it once it serves, too.
 func (s *Service) open() (err error) {
 	held, no := false, error(nil)
@@ -175,6 +194,24 @@
 	return <-all
 }
 
+// State tells the list as it was last told here.
+func (h heirs) State() []byte {
+	all := make(chan knowledge, 1)
+	h.s.loop.Post(func() {
+		p := h.s.platform
+		k := knowledge{Discovery: h.s.conf.Discovery, List: discovery.List{Generation: max(p.told, h.s.conf.Known.Generation), Whole: true}}
+		for _, e := range p.entries {
+			k.List.Entries = append(k.List.Entries, e)
+		}
+		all <- k
+	})
+	text, err := json.Marshal(<-all)
+	if err != nil {
+		h.s.log.Error().Err(err).Msg("what is known cannot be handed over")
+	}
+	return text
+}
+
 // Asked takes that another process starts beside this one.
 func (h heirs) Asked() { h.s.loop.Post(func() { h.s.alongside(1) }) }
 
--- a/internal/service/succession_test.go
+++ b/internal/service/succession_test.go
@@ -12,6 +12,7 @@
 	"bendtrestle/internal/config"
 	"bendtrestle/internal/discovery"
 	"bendtrestle/internal/router"
+	"bendtrestle/logic"
 
 	"github.com/rs/zerolog"
 )
@@ -176,3 +177,34 @@
 		t.Errorf("the new one answers %q", got)
 	}
 }
+
+// What the process before was told last is known from the start: the list service may be silent, and a drain must be kept.
+func TestListIsHandedOver(t *testing.T) {
+	list, shared, addr := fleet(t, 0), t.TempDir(), freeAddress(t)
+	s, _ := next(t, addr, list, shared)
+	serving(t, s)
+	told := make(chan bool)
+	s.loop.Post(func() {
+		drains := s.platform.entries[discovery.ID("s-1")]
+		drains.Mode = logic.Draining
+		other := drains
+		other.ID, other.Mode, other.Zone = 7, logic.InService, "b"
+		s.platform.hear(logic.Diff, discovery.List{Entries: []discovery.Entry{drains, other}})
+		s.platform.told = 5
+		close(told)
+	})
+	<-told
+	after, _ := next(t, addr, list, shared) // whose own start says that it is ready, generation 1
+	done := make(chan bool)
+	after.loop.Post(func() {
+		p := after.platform
+		if e := p.entries[7]; len(p.entries) != 2 || p.entries[discovery.ID("s-1")].Mode != logic.Draining || e.Zone != "b" || !e.Addr.IsValid() {
+			t.Errorf("it knows %+v", p.entries)
+		}
+		if p.listed[discovery.ID("s-1")] || !p.router.Avoids(discovery.ID("s-1")) {
+			t.Error("the draining one is taken for ready")
+		}
+		close(done)
+	})
+	<-done
+}
