--- a/logic/logic.go
+++ b/logic/logic.go
@@ -163,7 +163,7 @@
 	}
 	for id, s := range r.servers {
 		if s.Mode == Gone || kind != Diff && !seen[s] {
-			s.Mode, moved = Gone, true // what is out there still knows it; ever new ids must not pile up
+			s.Mode, moved = Gone, moved || !s.barred // what is out there still knows it; new ids must not pile up
 			if !s.barred {
 				delete(r.servers, id)
 			}
@@ -177,8 +177,8 @@
 	}
 }
 
-// Barred takes that operators leave a cache out, whatever lists say, or that it may serve again: then it may have
-// started anew, cold, before a list tells of that (rule 4).
+// Barred takes that operators leave a cache out, whatever lists say, or that it may serve again: then it may
+// have started anew, cold, before a list tells of that (rule 4).
 func (r *Router) Barred(now float64, id uint64, out bool) {
 	r.now = now
 	s := cmp.Or(r.servers[id], &server{share: 1, slow: 1, joint: 1})
