--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -55,6 +55,7 @@
 	tallies  map[string]*Tally // by the traffic type that clients name
 	open     int               // operations taken and not ended
 	passing  int               // long values on their way
+	deepened int               // bytes of them that the kernel may hold
 	arriving int               // bytes set apart for long writes
 	ready    bool              // mn is answered MN
 	drain    bool              // it is not, for clients are sent away
@@ -145,6 +146,19 @@
 	}
 }
 
+// Deepen gives what is left of long values to the kernel, as far as so many bytes in all go: the process may be killed before
+// slow clients have read them, and the kernel sends on after that.
+func (f *Front) Deepen(bytes int) {
+	for c := range f.clients {
+		if c.pulls && !c.deep && f.deepened < bytes {
+			p := c.rest[0]
+			c.conn.Deepen(p.long.Length())
+			c.deep = true
+			f.deepened += p.long.Length() - p.of.passed
+		}
+	}
+}
+
 // Shut reads nothing more from the connections that there are, and ends each after the answers owed on it: a client that never
 // pauses would be served for ever.
 func (f *Front) Shut() {
@@ -238,6 +252,7 @@
 	faults   int     // commands that can't be used
 	surplus  bool    // beyond the bound: declined and closed
 	pulls    bool    // the long value that is first is on its way
+	deep     bool    // the kernel takes all of it
 	arriving int     // bytes set apart for the long write that it sends
 	lengthy  bool    // it sends one
 	ending   bool    // nothing more is read, and it is closed once all is written
@@ -270,6 +285,7 @@
 	held      int // bytes of its value, until it is answered
 	parts     [][]byte
 	long      router.Long // between the two parts, what is too long to be held
+	passed    int         // bytes of that
 }
 
 // left counts an operation as its last byte leaves, or as its client does without it.
@@ -399,7 +415,7 @@
 // Part passes on some of a long value.
 func (a *answer) Part(part []byte) int {
 	n := a.c.conn.Write(part)
-	if n > 0 {
+	if a.passed += n; n > 0 {
 		a.c.used = a.c.f.loop.Now()
 	}
 	return n
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -250,6 +250,7 @@
 		s.end()
 		return
 	}
+	s.front.Deepen(s.conf.Memory / 2)
 	s.front.Leave() // what was not idle a moment ago may be now
 	s.loop.After(0.01, s.endIfDone)
 }
--- a/internal/sock/conn.go
+++ b/internal/sock/conn.go
@@ -194,6 +194,14 @@
 // Unsent is how many bytes wait to be taken by the kernel.
 func (c *Conn) Unsent() int { return c.out.Len() }
 
+// Deepen lets the kernel hold so many bytes more that the other side has not read, as far as it allows: it goes on sending them when
+// this process has ended.
+func (c *Conn) Deepen(bytes int) {
+	if !c.closed {
+		unix.SetsockoptInt(c.fd, unix.SOL_SOCKET, unix.SO_SNDBUF, bytes)
+	}
+}
+
 // Pause stops reading, once the present callback is over.
 func (c *Conn) Pause() { c.turn(true) }
 
