Let answered callers make room at the operators' door, which refused a call

Cause: callers whose body was not read are kept open by the server for half a second after their answer; they held all places, and what is whole made no room, so the new call was closed. Ruled out: eviction of the call itself (the oldest goes first). Lines: gate.admit. Answered callers now make room first, and those being answered do not shut out a new one up to twice the places.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -109,9 +109,11 @@
 	net.Conn
 	g     *gate
 	whole atomic.Bool // its call has come
+	over  atomic.Bool // and its answer has left
 }
 
-// Accept takes a connection. With all places taken the one that has said no whole call for longest makes room.
+// Accept takes a connection. With all places taken one that was answered makes room, else the one that
+// has said no whole call for longest.
 func (g *gate) Accept() (net.Conn, error) {
 	for {
 		conn, err := g.Listener.Accept()
@@ -131,19 +133,30 @@
 	var oldest *caller
 	full := len(g.callers) >= g.places
 	for _, other := range g.callers {
-		if full && !other.whole.Load() {
-			oldest = other
-			break
+		if over := other.over.Load(); full && (over || oldest == nil && !other.whole.Load()) {
+			if oldest = other; over { // the server keeps it for half a second, lest a reset cut its answer
+				break
+			}
 		}
 	}
-	if !full || oldest != nil {
+	room := oldest != nil || len(g.callers) < 2*g.places // those being answered are so within a second
+	if room {
 		g.callers = append(g.callers, c)
 	}
 	g.mu.Unlock()
 	if oldest != nil {
 		oldest.Close()
 	}
-	return !full || oldest != nil
+	return room
+}
+
+// CloseWrite is called by the server once an answer has left.
+func (c *caller) CloseWrite() error {
+	c.over.Store(true)
+	if conn, ok := c.Conn.(*net.TCPConn); ok {
+		return conn.CloseWrite()
+	}
+	return nil
 }
 
 // Close gives the place back.
