Mend what reading found: bytes held for ever, strangers' files, copies behind long values

A long value that broke off left the two bytes of its end counted as held. In a folder that others write to, their file could take servers out and their socket be taken for a predecessor: both must be this user's. Where second copies are barred an execution given up behind a long value was still out on its connection, which must not be cut: there nothing is sent behind another any more. A line from a process that asks is bounded.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -426,7 +426,7 @@
 	c := a.c
 	if c.f.clients[c] {
 		c.f.passing--
-		c.pulls = false
+		c.pulls, c.deep = false, false
 		c.rest = c.rest[1:]
 		c.Flushed()
 	}
@@ -438,7 +438,8 @@
 		a.how = errored
 		a.left(true)
 		c.f.passing--
-		c.rest = c.rest[2:] // with the end of the value
+		c.rest = c.rest[1:]
+		c.rest[0].last = false // the end of the value is let go of, and the operation is counted
 		c.close()
 	}
 }
--- a/internal/handover/bans.go
+++ b/internal/handover/bans.go
@@ -13,6 +13,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -95,7 +96,7 @@
 	defer f.Close()
 	info, err := f.Stat()
 	text, other := io.ReadAll(io.LimitReader(f, fileBound))
-	if err != nil || other != nil {
+	if err != nil || other != nil || !mine(info) {
 		return
 	}
 	b.seen, b.ids = info, nil
@@ -106,6 +107,12 @@
 	}
 }
 
+// mine tells whether a file is this user's: in a folder that others write to, too, theirs must not take servers out.
+func mine(info os.FileInfo) bool {
+	stat, known := info.Sys().(*syscall.Stat_t)
+	return known && int(stat.Uid) == os.Getuid()
+}
+
 // Set takes a server out or back, here and in the file. An error other than ErrMany tells that it is so here alone.
 func (b *Bans) Set(id string, out bool) error {
 	b.mu.Lock()
--- a/internal/handover/sockets.go
+++ b/internal/handover/sockets.go
@@ -45,6 +45,10 @@
 		return nil, nil, err
 	}
 	conn := c.(*net.UnixConn)
+	if !ours(conn) {
+		conn.Close()
+		return nil, nil, errors.New("the process before is another user's")
+	}
 	conn.SetDeadline(time.Now().Add(answering))
 	sockets, state, err := ask(conn)
 	if err != nil {
@@ -189,7 +193,7 @@
 	}
 }
 
-// ours tells whether the caller is this user's.
+// ours tells whether the other side is this user's.
 func ours(conn *net.UnixConn) (same bool) {
 	raw, err := conn.SyscallConn()
 	if err == nil {
@@ -213,7 +217,7 @@
 	defer o.done(conn)
 	conn.SetDeadline(time.Now().Add(answering))
 	in := bufio.NewReaderSize(conn, 64)
-	if line, err := in.ReadString('\n'); err != nil || strings.TrimSpace(line) != hello {
+	if line, err := in.ReadSlice('\n'); err != nil || strings.TrimSpace(string(line)) != hello {
 		return
 	}
 	line, fds := told, []int(nil)
@@ -232,8 +236,8 @@
 	}
 	conn.SetDeadline(time.Time{})
 	o.heirs.Asked()
-	word, err := in.ReadString('\n')
-	served := err == nil && strings.TrimSpace(word) == serving
+	word, err := in.ReadSlice('\n')
+	served := err == nil && strings.TrimSpace(string(word)) == serving
 	if served {
 		o.heirs.Serves()
 		in.ReadByte() // until it ends
--- a/internal/service/pool.go
+++ b/internal/service/pool.go
@@ -51,6 +51,9 @@
 	if name != "" {
 		p.log = s.log.With().Str("pool", name).Logger()
 	}
+	if !set.SecondCopies { // one given up behind a long value is still out there: none is sent behind another
+		streams = 1
+	}
 	p.fleet = caches.New(s.loop, caches.Limits{Connections: connections, PerConnection: streams, ConnectTimeout: connect,
 		Stall: stall, Idle: idle}, wire, p.log)
 	watch := func(on bool) {} // the list is watched in any case
