Leave the path to whoever serves, where a process between two versions goes

A process now waits until nobody answers at the path that is not its own.

The tests of the service say more cases in fewer lines: two followers, SIGTERM before the yes, an upgrade in a drain, a drain before the start, at the end and with a long value on its way, states that cannot be read, figures from 0.

--- a/internal/caches/caches.go
+++ b/internal/caches/caches.go
@@ -56,6 +56,14 @@
 // Sends counts the executions whose last byte the kernel has taken, since the start.
 func (f *Fleet) Sends() uint64 { return f.sends }
 
+// Idle counts the connections that stand idle.
+func (f *Fleet) Idle() (n int) {
+	for _, s := range f.servers {
+		n += len(s.idle)
+	}
+	return n
+}
+
 // Limit sets how many connections there may be from now on; of those beyond it the idle ones are closed.
 func (f *Fleet) Limit(connections int) {
 	f.limits.Connections = connections
--- a/internal/handover/sockets.go
+++ b/internal/handover/sockets.go
@@ -160,6 +160,18 @@
 	return o, nil
 }
 
+// followed tells whether another process waits at the path by now.
+func (o *Offer) followed() bool {
+	if now, err := os.Stat(o.path); err != nil || os.SameFile(now, o.mine) {
+		return false
+	}
+	conn, err := net.DialTimeout("unix", o.path, answering)
+	if err == nil {
+		conn.Close()
+	}
+	return err == nil
+}
+
 // Close ends it; the path stays another's if one has taken it over.
 func (o *Offer) Close() {
 	if now, err := os.Stat(o.path); err == nil && os.SameFile(now, o.mine) {
@@ -242,5 +254,8 @@
 		o.heirs.Serves()
 		in.ReadByte() // until it ends
 	}
+	for served && o.followed() { // one that came after it has the path, and the clients
+		time.Sleep(looking)
+	}
 	o.heirs.Lost(served)
 }
--- a/internal/service/desk_test.go
+++ b/internal/service/desk_test.go
@@ -1,10 +1,9 @@
 package service
 
 import (
-	"bufio"
+	"bytes"
 	"fmt"
 	"io"
-	"net"
 	"net/netip"
 	"strings"
 	"testing"
@@ -17,55 +16,13 @@
 	"github.com/rs/zerolog"
 )
 
-// operated gives what the door calls of a service that serves.
-func operated(t *testing.T, while time.Duration) (*desk, string) {
-	s, addr, _ := running(t, fleet(t, while))
-	t.Cleanup(func() { s.loop.Post(s.end) })
-	d := &desk{s: s}
-	done := make(chan bool)
-	s.loop.Post(func() { s.desk = d; s.publish(); close(done) })
-	<-done
-	return d, addr
-}
-
-// asker asks on one connection, one command after another, and gives how many were answered before it was closed; lost tells
-// that the connection ended in an answer.
-func asker(t *testing.T, addr, name string, pause time.Duration) (ended chan error) {
-	conn, err := net.Dial("tcp", addr)
-	if err != nil {
-		t.Fatal(err)
-	}
-	ended = make(chan error, 1)
-	go func() {
-		defer conn.Close()
-		for i, in := 0, bufio.NewReader(conn); ; i++ {
-			fmt.Fprintf(conn, "mg k v O%s%d Pc=t,d=1900\r\n", name, i)
-			line, err := in.ReadString('\n')
-			if err == nil && strings.HasPrefix(line, "VA") {
-				_, err = in.ReadString('\n')
-			}
-			if line != "" && err != nil {
-				ended <- fmt.Errorf("cut in %q", line)
-				return
-			} else if err != nil {
-				ended <- nil
-				return
-			}
-			time.Sleep(pause)
-		}
-	}()
-	return ended
-}
-
-// A drain says no at once, serves what comes meanwhile, and within two seconds no connection is left, whether its client
-// pauses, never pauses or says nothing; the router stays, and takes clients again at once.
+// A drain says no at once, serves what comes meanwhile, and two seconds later no connection is left, whether its client pauses,
+// never pauses or says nothing, but for a long value on its way, which comes whole. Taken again at once, and told to end in
+// another drain, the router ends in time.
 func TestDrain(t *testing.T) {
-	d, addr := operated(t, 5*time.Millisecond)
-	silent, err := net.Dial("tcp", addr)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer silent.Close()
+	d, addr, ended := operated(t, giving(t, lengthy))
+	silent, _ := asking(t, addr, "", "")
+	_, late := asking(t, addr, "late", "slow")
 	var ends []chan error
 	for i := range 6 {
 		ends = append(ends, asker(t, addr, fmt.Sprint("a", i), time.Duration(i)*60*time.Millisecond))
@@ -76,16 +33,13 @@
 			t.Fatalf("drain: %v, ready %v", err, d.Ready())
 		}
 	}
-	if got := ask(addr, "mn"); got != "SERVER_ERROR draining" {
-		t.Errorf("mn is answered %q", got)
-	}
-	if got := ask(addr, read); !strings.HasPrefix(got, "VA") {
-		t.Errorf("an operation while drained is answered %q", got)
+	if got := ask(addr, "mn") + ask(addr, "mg short v Ob Pc=t,d=1900"); got != "SERVER_ERROR drainingVA 2 Ob" {
+		t.Errorf("in a drain it answers %q", got)
 	}
 	deadline := time.After(2500 * time.Millisecond)
-	for i, ended := range ends {
+	for i, closed := range ends {
 		select {
-		case err := <-ended:
+		case err := <-closed:
 			if err != nil {
 				t.Errorf("client %d: %v", i, err)
 			}
@@ -97,24 +51,45 @@
 	if _, err := silent.Read(make([]byte, 1)); err != io.EOF {
 		t.Errorf("a client that says nothing gets %v", err)
 	}
-	if got := ask(addr, "mn"); got != "SERVER_ERROR draining" {
-		t.Errorf("drained for long, mn is answered %q", got)
+	if err := whole(late, "late"); err != nil {
+		t.Errorf("the long value: %v", err)
+	}
+	conn, in := asking(t, addr, "", "")
+	fmt.Fprint(conn, "mn\r\n") // later still it is told no and closed
+	if text, err := io.ReadAll(in); string(text) != "SERVER_ERROR draining\r\n" || err != nil {
+		t.Errorf("drained for long it answers %q, %v", text, err)
 	}
 	if err := d.Undrain(); err != nil || !d.Ready() || ask(addr, "mn") != "MN" {
 		t.Errorf("undrain: %v, ready %v", err, d.Ready())
 	}
+	d.Drain()
+	d.s.loop.Post(d.s.leave)
+	if err := d.Undrain(); err != errEnding {
+		t.Errorf("as it ends a call gets %v", err)
+	}
+	gone(t, d.s, ended)
 }
 
-// A drain that was called off does not end connections later, also where another drain began meanwhile and was called off.
+// Drains that were called off end no connection later. One that begins before the router serves holds once it does.
 func TestDrainCalledOff(t *testing.T) {
-	d, addr := operated(t, 0)
+	list := giving(t, lengthy)
+	d, addr, _ := operated(t, "127.0.0.1:1")
+	if d.Ready() {
+		t.Error("it is ready without a list")
+	}
+	d.Drain()
+	d.s.loop.Post(func() { d.s.platform.follow(list) })
+	serving(t, d.s)
+	if got := ask(addr, "mn"); d.Ready() || got != "SERVER_ERROR draining" {
+		t.Errorf("drained before it served, it answers %q", got)
+	}
 	for range 3 {
-		d.Drain()
 		d.Undrain()
+		d.Drain()
 	}
-	ended := asker(t, addr, "a", 20*time.Millisecond)
+	d.Undrain()
 	select {
-	case err := <-ended:
+	case err := <-asker(t, addr, "a", 20*time.Millisecond):
 		t.Errorf("the connection ended: %v", err)
 	case <-time.After(1800 * time.Millisecond):
 	}
@@ -122,7 +97,7 @@
 
 // A loop that is held up answers no in time, and does nothing later.
 func TestCallsAreDoneOrNot(t *testing.T) {
-	d, addr := operated(t, 0)
+	d, addr, _ := operated(t, fleet(t, 0))
 	held := make(chan bool)
 	d.s.loop.Post(func() { <-held })
 	began := time.Now()
@@ -135,70 +110,55 @@
 	}
 }
 
-// A cache server that is out gets nothing from the yes on, whatever the list says; one call back undoes two calls out, and an
-// id that no list has named is refused.
+// A cache server that is out gets nothing from the yes on, whatever the list says, and no connection is kept; one call back undoes
+// two calls out, and an id that no list has named is refused. The figures follow, from 0 for each class.
 func TestOutByHand(t *testing.T) {
-	d, addr := operated(t, 0)
-	if err := d.Disable("s-2"); err != control.ErrUnknown {
-		t.Errorf("an unknown id gets %v", err)
-	}
-	for range 2 {
-		if err := d.Disable("s-1"); err != nil {
-			t.Fatal(err)
+	d, addr, _ := operated(t, giving(t, lengthy))
+	figures := func(want string) {
+		t.Helper()
+		time.Sleep(250 * time.Millisecond) // they may be 0.5 s old
+		if got := string(d.Figures()); !strings.Contains(got, want) {
+			t.Errorf("the figures are %s, not with %s", got, want)
 		}
 	}
-	n := 0
-	operation := func() string {
-		n++
-		return ask(addr, fmt.Sprintf("mg k v Oh%d Pc=t,d=1900", n))
-	}
-	if got := operation(); !strings.HasPrefix(got, "SERVER_ERROR busy") {
-		t.Errorf("with the only cache server out it answers %q", got)
-	}
-	d.s.loop.Post(func() {
-		for id := range d.s.platform.known { // it leaves the list and comes back under another start
-			e := discovery.Entry{Member: logic.Member{ID: id, Mode: logic.Gone}}
-			d.s.platform.hear(logic.Diff, discovery.List{Entries: []discovery.Entry{e}})
-			e.Mode, e.Started = logic.InService, 7
-			e.Addr = netip.MustParseAddrPort("127.0.0.1:1")
-			d.s.platform.hear(logic.Diff, discovery.List{Entries: []discovery.Entry{e}})
-		}
-	})
-	if got := operation(); !strings.HasPrefix(got, "SERVER_ERROR busy") {
-		t.Errorf("named anew by the list while out, it answers %q", got)
-	}
-	if got := string(d.Figures()); !strings.Contains(got, "gw.cluster_size=1\ngw.cluster_unhealthy=1\n") {
-		t.Errorf("the figures are %s", got)
+	figures("gw.transactions.t.answered=0\ngw.transactions.t.deferred=0\ngw.transactions.t.errored=0\ngw.sends=0\ngw.current=0\n")
+	if got := ask(addr, "mg short v Oa Pc=t,d=1900"); got != "VA 2 Oa" {
+		t.Errorf("it answers %q", got)
 	}
-	if err := d.Enable("s-1"); err != nil {
-		t.Fatal(err)
+	idle := func() bool { return d.s.platform.fleet.Idle() == 0 }
+	if on(d.s, idle) {
+		t.Error("no connection is kept")
 	}
-	if got := string(d.Figures()); !strings.Contains(got, "gw.cluster_size=1\ngw.cluster_unhealthy=0\n") {
-		t.Errorf("back in, the figures are %s", got)
+	if err := d.Disable("s-2"); err != control.ErrUnknown {
+		t.Errorf("an unknown id gets %v", err)
 	}
-}
-
-// Calls at once for two servers: neither is taken back for a moment by the other's set, which would make it count as cold.
-func TestCallsForTwoServersAtOnce(t *testing.T) {
-	d, _ := operated(t, 0)
-	var log strings.Builder
-	d.s.loop.Post(func() {
-		d.s.platform.known[discovery.ID("s-2")] = false
-		d.s.log = zerolog.New(&log)
-	})
+	var log bytes.Buffer
+	on(d.s, func() bool { d.s.platform.known[discovery.ID("s-3")], d.s.log = false, zerolog.New(&log); return true })
 	done := make(chan error)
-	for _, id := range []string{"s-1", "s-2"} {
+	for _, id := range []string{"s-1", "s-3", "s-1"} { // at once: no set of one call takes another's back for a moment
 		go func() { done <- d.Disable(id) }()
 	}
-	for range 2 {
+	for range 3 {
 		if err := <-done; err != nil {
 			t.Error(err)
 		}
 	}
-	d.do(func() error {
-		if text := log.String(); strings.Contains(text, `"out":false`) || strings.Count(text, `"out":true`) != 2 {
-			t.Errorf("it did %s", text)
-		}
-		return nil
+	if text := on(d.s, log.String); strings.Contains(text, `"out":false`) || strings.Count(text, `"out":true`) != 2 {
+		t.Errorf("it did %s", text)
+	}
+	on(d.s, func() bool { // it leaves the list and comes back under another start
+		e := discovery.Entry{Member: logic.Member{ID: discovery.ID("s-1"), Mode: logic.Gone}}
+		d.s.platform.hear(logic.Diff, discovery.List{Entries: []discovery.Entry{e}})
+		e.Mode, e.Started, e.Addr = logic.InService, 7, netip.MustParseAddrPort("127.0.0.1:1")
+		d.s.platform.hear(logic.Diff, discovery.List{Entries: []discovery.Entry{e}})
+		return true
 	})
+	if got := ask(addr, "mg short v Ob Pc=t,d=1900"); !strings.HasPrefix(got, "SERVER_ERROR busy") || !on(d.s, idle) {
+		t.Errorf("with the only cache server out it answers %q, or keeps connections", got)
+	}
+	figures("gw.transactions.t.answered=1\ngw.transactions.t.deferred=1\ngw.transactions.t.errored=0\ngw.sends=1\ngw.current=0\ngw.cluster_size=1\ngw.cluster_unhealthy=1\n")
+	if err := d.Enable("s-1"); err != nil {
+		t.Fatal(err)
+	}
+	figures("gw.cluster_size=1\ngw.cluster_unhealthy=0\n")
 }
--- /dev/null
+++ b/internal/service/helpers_test.go
@@ -0,0 +1,136 @@
+package service
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"bendtrestle/internal/config"
+	"bendtrestle/internal/discovery"
+	"bendtrestle/internal/router"
+
+	"github.com/rs/zerolog"
+)
+
+// next starts a process of a router at an address, which knows its list service's list from the start, if there is one; shared
+// is the processes' folder.
+func next(t *testing.T, addr, list, shared string) (s *Service, ended chan error) {
+	t.Helper()
+	conf, err := config.Parse(fmt.Appendf(nil, usual, addr, list), func(name string) string { return map[string]string{"TMPDIR": shared}[name] })
+	if answer, other := http.Get("http://" + list + "/catalog/members"); other == nil {
+		text, _ := io.ReadAll(answer.Body)
+		answer.Body.Close()
+		conf.Known, _ = discovery.Parse(text)
+	}
+	if err == nil {
+		s, err = assemble(Setup{Platform: conf}, router.Logic, zerolog.Nop())
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended = make(chan error, 1)
+	go func() { ended <- s.loop.Run() }()
+	t.Cleanup(func() { s.loop.Post(s.end) })
+	return s, ended
+}
+
+// on calls on a service's loop and waits for it.
+func on[T any](s *Service, call func() T) T {
+	got := make(chan T, 1)
+	s.loop.Post(func() { got <- call() })
+	return <-got
+}
+
+// until waits for a state of a service.
+func until(t *testing.T, what string, s *Service, is func() bool) {
+	t.Helper()
+	for i := 0; !on(s, is); i++ {
+		if i > 500 {
+			t.Fatalf("%s does not come", what)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// serving waits until it is.
+func serving(t *testing.T, s *Service) {
+	t.Helper()
+	until(t, "serving", s, func() bool { return s.phase == Serving })
+}
+
+// operated gives what the door calls of a service.
+func operated(t *testing.T, list string) (d *desk, addr string, ended chan error) {
+	addr = freeAddress(t)
+	s, ended := next(t, addr, list, "")
+	return on(s, func() *desk { s.desk = &desk{s: s}; s.publish(); return s.desk }), addr, ended
+}
+
+// load asks on ever new connections until it is stopped, and counts what was not answered.
+func load(addr string) (stop func() (asked, failed int)) {
+	var done atomic.Bool
+	counts := make(chan [2]int)
+	for g := range 4 {
+		go func() {
+			var c [2]int
+			for ; !done.Load(); c[0]++ {
+				if !strings.HasPrefix(ask(addr, fmt.Sprintf("mg k v Ol%d-%d Pc=t,d=1900", g, c[0])), "VA") {
+					c[1]++
+				}
+				time.Sleep(2 * time.Millisecond)
+			}
+			counts <- c
+		}()
+	}
+	return func() (asked, failed int) {
+		done.Store(true)
+		for range 4 {
+			c := <-counts
+			asked, failed = asked+c[0], failed+c[1]
+		}
+		return asked, failed
+	}
+}
+
+// asker asks on one connection, one command after another; it tells when the connection is closed, and if that cut an answer.
+func asker(t *testing.T, addr, name string, pause time.Duration) (ended chan error) {
+	ended = make(chan error, 1)
+	conn, in := asking(t, addr, name, "short")
+	go func() {
+		for i := 0; ; i++ {
+			line, err := in.ReadString('\n')
+			if err == nil && strings.HasPrefix(line, "VA") {
+				_, err = in.ReadString('\n')
+			}
+			if err != nil && line != "" {
+				ended <- fmt.Errorf("cut in %q", line)
+			}
+			if err != nil {
+				ended <- nil
+				return
+			}
+			time.Sleep(pause)
+			fmt.Fprintf(conn, "mg short v O%s%d Pc=t,d=1900\r\n", name, i)
+		}
+	}()
+	return ended
+}
+
+// asking gives a connection on which a key was asked for; without one, nothing was.
+func asking(t *testing.T, addr, id, key string) (net.Conn, *bufio.Reader) {
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	conn.SetDeadline(time.Now().Add(15 * time.Second))
+	if key != "" {
+		fmt.Fprintf(conn, "mg %s v O%s Pc=t,d=1900\r\n", key, id)
+	}
+	return conn, bufio.NewReader(conn)
+}
--- a/internal/service/long_test.go
+++ b/internal/service/long_test.go
@@ -56,18 +56,6 @@
 	return nil
 }
 
-// asking gives a connection on which a key was asked for.
-func asking(t *testing.T, addr, id, key string) (net.Conn, *bufio.Reader) {
-	conn, err := net.Dial("tcp", addr)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { conn.Close() })
-	conn.SetDeadline(time.Now().Add(15 * time.Second))
-	fmt.Fprintf(conn, "mg %s v O%s Pc=t,d=1900\r\n", key, id)
-	return conn, bufio.NewReader(conn)
-}
-
 // Long values come whole, in order with others, to clients that read slowly or late; there are more of them at once than may be
 // held.
 func TestLongValues(t *testing.T) {
--- a/internal/service/pool.go
+++ b/internal/service/pool.go
@@ -51,16 +51,22 @@
 	if name != "" {
 		p.log = s.log.With().Str("pool", name).Logger()
 	}
-	if !set.SecondCopies { // one given up behind a long value is still out there: none is sent behind another
-		streams = 1
-	}
-	p.fleet = caches.New(s.loop, caches.Limits{Connections: connections, PerConnection: streams, ConnectTimeout: connect,
+	p.fleet = caches.New(s.loop, caches.Limits{Connections: connections, PerConnection: piped(set, streams), ConnectTimeout: connect,
 		Stall: stall, Idle: idle}, wire, p.log)
 	watch := func(on bool) {} // the list is watched in any case
 	p.router = router.New(set, router.Outside{Clock: s.loop, Caches: p.fleet, Tell: s.peers.Tell, Watch: watch, Log: p.log}, s.module)
 	return p
 }
 
+// piped is how many executions a connection carries. Where second copies are barred it is one: what is given up behind a long value
+// would still be out there, for its connection must not be cut.
+func piped(set logic.Settings, streams int) int {
+	if !set.SecondCopies {
+		return 1
+	}
+	return streams
+}
+
 // follow moves the watch to a list service. The watch before it goes on until the new one has told a whole list: so
 // no news is lost between them, and an address where nothing answers costs nothing.
 func (p *pool) follow(addr string) {
@@ -197,6 +203,6 @@
 	c := p.router.Counts
 	e := log.Info().Uint64("taken", c.Taken).Uint64("finished", c.Finished).Uint64("declined", c.Declined).
 		Uint64("terminated", c.Terminated).Uint64("left", c.Left).Uint64("executions", c.Executions).
-		Uint64("faults", c.Faults).Int("open", p.router.Open()).Int("clients", clients)
+		Uint64("faults", c.Faults).Int("open", p.router.Open()).Int("clients", clients).Int("idle", p.fleet.Idle())
 	reasonsOf(e, c.Reasons[:]).Msg("counts")
 }
--- a/internal/service/succession_test.go
+++ b/internal/service/succession_test.go
@@ -2,140 +2,66 @@
 
 import (
 	"fmt"
-	"io"
 	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
 	"strings"
-	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
-	"bendtrestle/internal/config"
 	"bendtrestle/internal/discovery"
-	"bendtrestle/internal/router"
 	"bendtrestle/logic"
-
-	"github.com/rs/zerolog"
 )
 
-// next starts a process of a router at an address, which knows its list service's list from the start, if there is one; shared
-// is the processes' folder.
-func next(t *testing.T, addr, list, shared string) (s *Service, ended chan error) {
-	t.Helper()
-	conf, err := config.Parse(fmt.Appendf(nil, usual, addr, list), func(name string) string {
-		return map[string]string{"TMPDIR": shared}[name]
-	})
-	if answer, other := http.Get("http://" + list + "/catalog/members"); other == nil {
-		text, _ := io.ReadAll(answer.Body)
-		answer.Body.Close()
-		conf.Known, _ = discovery.Parse(text)
-	}
-	if err == nil {
-		s, err = assemble(Setup{Platform: conf}, router.Logic, zerolog.Nop())
-	}
-	if err != nil {
-		t.Fatal(err)
-	}
-	ended = make(chan error, 1)
-	go func() { ended <- s.loop.Run() }()
-	t.Cleanup(func() { s.loop.Post(s.end) })
-	return s, ended
-}
-
-// until waits for a state of a service.
-func until(t *testing.T, what string, s *Service, is func() bool) {
+// gone ends a service as SIGTERM does, and waits for it.
+func gone(t *testing.T, s *Service, ended chan error) {
 	t.Helper()
-	for i := 0; ; i++ {
-		state := make(chan bool)
-		s.loop.Post(func() { state <- is() })
-		if <-state {
-			return
-		}
-		if i > 500 {
-			t.Fatalf("%s does not come", what)
-		}
-		time.Sleep(10 * time.Millisecond)
+	s.loop.Post(s.leave)
+	select {
+	case <-ended:
+	case <-time.After(4 * time.Second):
+		t.Fatal("it does not end")
 	}
 }
 
-func serving(t *testing.T, s *Service) {
+// halted waits until a process has been followed by another.
+func halted(t *testing.T, s *Service) {
 	t.Helper()
-	until(t, "serving", s, func() bool { return s.phase == Serving })
-}
-
-// load asks on ever new connections until it is stopped, and counts what was not answered.
-func load(addr string) (stop func() (asked, failed int)) {
-	var done atomic.Bool
-	type count struct{ asked, failed int }
-	counts := make(chan count)
-	for g := range 4 {
-		go func() {
-			var c count
-			for ; !done.Load(); c.asked++ {
-				if got := ask(addr, fmt.Sprintf("mg k v Ol%d-%d Pc=t,d=1900", g, c.asked)); !strings.HasPrefix(got, "VA") {
-					c.failed++
-				}
-				time.Sleep(2 * time.Millisecond)
-			}
-			counts <- c
-		}()
-	}
-	return func() (asked, failed int) {
-		done.Store(true)
-		for range 4 {
-			c := <-counts
-			asked, failed = asked+c.asked, failed+c.failed
-		}
-		return asked, failed
-	}
+	until(t, "the old one's halt", s, func() bool { return s.heirs == 1 && !s.taking() })
 }
 
-// One process follows another twice under load: nothing is refused, reset or left unread, what is out by hand stays out, and who
-// is left has the whole of the limits.
+// Under load, all in a row: one that follows dies before its yes, by SIGTERM; one after it; two follow at once and one of them goes; the
+// last follows a process in a drain, and takes clients. Nothing is refused, reset or left unread, and limits are shared.
 func TestUpgradesUnderLoad(t *testing.T) {
 	list, shared, addr := fleet(t, time.Millisecond), t.TempDir(), freeAddress(t)
 	s, ended := next(t, addr, list, shared)
 	serving(t, s)
 	stop := load(addr)
-	for range 2 {
-		time.Sleep(200 * time.Millisecond)
-		after, afterEnded := next(t, addr, list, shared)
-		serving(t, after)
-		until(t, "the old one's halt", s, func() bool { return s.heirs == 1 && !s.taking() })
-		until(t, "half of the limits", after, func() bool { return after.bounds().Clients < after.conf.Clients })
-		s.loop.Post(s.leave)
-		select {
-		case <-ended:
-		case <-time.After(4 * time.Second):
-			t.Fatal("the old process does not end")
-		}
-		until(t, "the whole limits", after, func() bool { return after.bounds().Clients == after.conf.Clients })
-		s, ended = after, afterEnded
-	}
+	early, earlyEnded := next(t, addr, "127.0.0.1:1", shared) // it never has a list
+	until(t, "the old one's notice", s, func() bool { return s.beside == 1 && s.bounds().Clients < s.conf.Clients })
+	gone(t, early, earlyEnded)
+	late, lateEnded := next(t, addr, list, shared)
+	halted(t, s)
+	gone(t, late, lateEnded)
+	until(t, "the old one's return", s, func() bool { return s.taking() && s.bounds().Clients == s.conf.Clients })
+	one, oneEnded := next(t, addr, list, shared)
+	halted(t, s)
+	two, twoEnded := next(t, addr, list, shared)
+	halted(t, one)
+	gone(t, one, oneEnded)
+	gone(t, s, ended)
+	until(t, "the whole limits", two, func() bool { return two.bounds().Clients == two.conf.Clients && two.taking() })
 	if asked, failed := stop(); failed > 0 || asked < 100 {
 		t.Errorf("of %d operations %d were not answered", asked, failed)
 	}
-}
-
-// A process that dies before or after its yes leaves all to the one before it, which can still be followed.
-func TestSuccessorDies(t *testing.T) {
-	list, shared, addr := fleet(t, time.Millisecond), t.TempDir(), freeAddress(t)
-	s, _ := next(t, addr, list, shared)
-	serving(t, s)
-	stop := load(addr)
-	early, _ := next(t, addr, "127.0.0.1:1", shared) // it never has a list
-	until(t, "the old one's notice", s, func() bool { return s.beside == 1 })
-	early.loop.Post(early.end)
-	until(t, "its end", s, func() bool { return s.beside == 0 })
-	late, _ := next(t, addr, list, shared)
-	serving(t, late)
-	until(t, "the old one's halt", s, func() bool { return s.heirs == 1 })
-	late.loop.Post(late.leave)
-	until(t, "its end", s, func() bool { return s.beside == 0 && s.taking() })
-	again, _ := next(t, addr, list, shared)
-	serving(t, again)
-	until(t, "the old one's halt", s, func() bool { return s.heirs == 1 })
-	if asked, failed := stop(); failed > 0 || asked < 100 {
-		t.Errorf("of %d operations %d were not answered", asked, failed)
+	on(two, func() error { return two.drain(true) })
+	last, _ := next(t, addr, list, shared)
+	halted(t, two)
+	gone(t, two, twoEnded)
+	if got := ask(addr, "mn"); got != "MN" || !on(last, last.taking) {
+		t.Errorf("after one in a drain mn is answered %q", got)
 	}
 }
 
@@ -143,18 +69,15 @@
 func TestPredecessorDies(t *testing.T) {
 	list, shared, addr := fleet(t, 0), t.TempDir(), freeAddress(t)
 	s, _ := next(t, addr, list, shared)
-	serving(t, s)
 	after, _ := next(t, addr, "127.0.0.1:1", shared)
 	until(t, "the old one's notice", s, func() bool { return s.beside == 1 })
 	s.loop.Post(s.end)
 	until(t, "the notice of its end", after, func() bool { return after.beside == 0 })
-	if got := ask(addr, "mn"); got != "SERVER_ERROR starting" {
-		t.Errorf("before it has a list it answers %q", got)
-	}
+	before := ask(addr, "mn")
 	after.loop.Post(func() { after.platform.follow(list) })
 	serving(t, after)
-	if got := ask(addr, "mn"); got != "MN" {
-		t.Errorf("it answers %q", got)
+	if got := ask(addr, "mn"); before != "SERVER_ERROR starting" || got != "MN" {
+		t.Errorf("before it has a list it answers %q, then %q", before, got)
 	}
 }
 
@@ -171,40 +94,97 @@
 	}
 	waits.loop.Post(func() { waits.platform.follow(list) })
 	serving(t, waits)
-	s.loop.Post(s.leave)
-	<-ended
+	gone(t, s, ended)
 	if got := ask(addr, "mn"); got != "MN" {
 		t.Errorf("the new one answers %q", got)
 	}
 }
 
-// What the process before was told last is known from the start: the list service may be silent, and a drain must be kept.
+// What the process before was told last is known from the start: the list service may be silent, and a drain must be kept. What cannot
+// be read, is of another list service, or older, is refused whole.
 func TestListIsHandedOver(t *testing.T) {
 	list, shared, addr := fleet(t, 0), t.TempDir(), freeAddress(t)
 	s, _ := next(t, addr, list, shared)
 	serving(t, s)
-	told := make(chan bool)
-	s.loop.Post(func() {
-		drains := s.platform.entries[discovery.ID("s-1")]
-		drains.Mode = logic.Draining
+	id := discovery.ID("s-1")
+	on(s, func() bool {
+		drains := s.platform.entries[id]
 		other := drains
-		other.ID, other.Mode, other.Zone = 7, logic.InService, "b"
+		drains.Mode, other.ID, other.Zone = logic.Draining, 7, "b"
 		s.platform.hear(logic.Diff, discovery.List{Entries: []discovery.Entry{drains, other}})
 		s.platform.told = 5
-		close(told)
+		return true
 	})
-	<-told
 	after, _ := next(t, addr, list, shared) // whose own start says that it is ready, generation 1
-	done := make(chan bool)
-	after.loop.Post(func() {
+	on(after, func() bool {
 		p := after.platform
-		if e := p.entries[7]; len(p.entries) != 2 || p.entries[discovery.ID("s-1")].Mode != logic.Draining || e.Zone != "b" || !e.Addr.IsValid() {
+		if e := p.entries[7]; len(p.entries) != 2 || p.entries[id].Mode != logic.Draining || e.Zone != "b" || !e.Addr.IsValid() || p.listed[id] {
 			t.Errorf("it knows %+v", p.entries)
 		}
-		if p.listed[discovery.ID("s-1")] || !p.router.Avoids(discovery.ID("s-1")) {
-			t.Error("the draining one is taken for ready")
+		for _, state := range []string{"", "{", `{"List":{"Entries":"x"}}`, `{"Discovery":"127.0.0.1:1","List":{"Generation":9,"Entries":[{}]}}`,
+			fmt.Sprintf(`{"Discovery":%q,"List":{"Generation":4,"Entries":[{}]}}`, list)} {
+			if after.learn([]byte(state)); after.conf.Known.Generation != 5 {
+				t.Errorf("%s is taken", state)
+			}
 		}
-		close(done)
+		return true
 	})
-	<-done
+}
+
+// Where second copies are barred nothing is sent behind another execution: one given up behind a long value would still be out.
+func TestNothingBehindAnotherWhereCopiesAreBarred(t *testing.T) {
+	if piped(logic.Settings{}, 100) != 1 || piped(logic.Settings{SecondCopies: true}, 100) != 100 {
+		t.Error("executions are sent behind others")
+	}
+}
+
+// Two versions follow each other as real processes under load: every operation is answered, each old process ends by itself with 0,
+// and what was taken out by hand at one is out at the next, which takes it back.
+func TestUpgradeOfRealProcesses(t *testing.T) {
+	dir, addr := t.TempDir(), freeAddress(t)
+	program, conf := filepath.Join(dir, "bendtrestle"), filepath.Join(dir, "config.json")
+	if out, err := exec.Command("go", "build", "-o", program, "bendtrestle/cmd/bendtrestle").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	os.WriteFile(conf, fmt.Appendf(nil, usual, addr, fleet(t, time.Millisecond)), 0o600)
+	start := func() (p *exec.Cmd, ops string) {
+		p, ops = exec.Command(program), freeAddress(t)
+		p.Env = append(os.Environ(), "GW_CONFIG="+conf, "TMPDIR="+dir, "GW_OPS="+ops)
+		if err := p.Start(); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { p.Process.Kill() })
+		for i := 0; i < 300; i++ {
+			if answer, err := http.Get("http://" + ops + "/ready"); err == nil && answer.StatusCode == http.StatusOK {
+				return p, ops
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		t.Fatal("it does not come to serve")
+		return nil, ""
+	}
+	p, ops := start()
+	stop := load(addr)
+	for range 2 {
+		time.Sleep(200 * time.Millisecond)
+		old := p
+		p, ops = start()
+		old.Process.Signal(syscall.SIGTERM)
+		if err := old.Wait(); err != nil {
+			t.Errorf("the old process ends with %v", err)
+		}
+	}
+	if asked, failed := stop(); failed > 0 || asked < 50 {
+		t.Errorf("of %d operations %d were not answered", asked, failed)
+	}
+	for i, call := range []string{"disable", "enable"} {
+		answer, err := http.Post("http://"+ops+"/cache-servers/"+call, "", strings.NewReader("s-1"))
+		if err != nil || answer.StatusCode != http.StatusOK {
+			t.Errorf("%s: %v", call, err)
+		}
+		_, ops = start()
+		if got := ask(addr, fmt.Sprintf("mg k v Oz%d Pc=t,d=1900", i)); strings.HasPrefix(got, "VA") != (call == "enable") {
+			t.Errorf("after %s and another version it answers %q", call, got)
+		}
+	}
 }
