--- a/internal/caches/caches_test.go
+++ b/internal/caches/caches_test.go
@@ -472,26 +472,83 @@
 	})
 }
 
-// An execution counts as sent once all of it was handed over, and a probe never.
-func TestSends(t *testing.T) {
-	f := serving(t, usual, func(conn net.Conn, line string) {
+// taker counts what it takes of a long value, and how that ended.
+type taker struct {
+	room, got int
+	ended     chan string
+}
+
+func (k *taker) Whole()  { k.ended <- "whole" }
+func (k *taker) Broken() { k.ended <- "broken" }
+func (k *taker) Part(p []byte) int {
+	n := min(len(p), k.room)
+	k.room, k.got = k.room-n, k.got+n
+	return n
+}
+
+// A long value settles its execution at the first bytes, is read no faster than it is taken, and is not cut off by what is given up
+// behind it, nor by a stall while it is not taken. One whose server gives nothing more is broken. Each counts as sent once, a probe never.
+func TestLongValues(t *testing.T) {
+	const length = 1 << 20
+	part := make(chan int)
+	limits := usual
+	limits.Connections = 1
+	f := serving(t, limits, func(conn net.Conn, line string) {
 		if line == "mn\r\n" {
 			conn.Write([]byte("MN\r\n"))
-		} else {
-			conn.Write([]byte("VA 0 Oa\r\n\r\n"))
+		} else if n := <-part; n > 0 {
+			conn.Write([]byte("VA 1048576 Oa\r\n" + strings.Repeat("x", n) + strings.Repeat("\r\n", n/length)))
 		}
 	})
-	for range 3 {
-		o, _ := f.execute(2)
-		o.want(t, logic.Finished)
-	}
 	probed := make(outcome, 1)
 	f.do(f.loop, func() { f.Probe(1, func(how logic.Outcome) { probed <- how }) })
 	probed.want(t, logic.Finished)
-	f.do(f.loop, func() { f.Execute(2, &router.Operation{ID: "b"}, 1, make(outcome, 1)) }) // unknown: nothing is sent
+	for _, c := range []struct {
+		gives int
+		ends  string
+	}{{length, "whole"}, {length / 2, "broken"}} {
+		settled, k := make(chan router.Result, 1), &taker{ended: make(chan string, 1)}
+		f.do(f.loop, func() { f.Execute(1, &router.Operation{ID: "a", Flags: "Oa"}, 5, results(settled)) })
+		behind := make(outcome, 1)
+		f.do(f.loop, func() { f.Execute(1, &router.Operation{ID: "b", Flags: "Ob"}, 0.2, behind) })
+		part <- c.gives
+		long := (<-settled).Long
+		behind.want(t, logic.NoAnswer)
+		late := make(outcome, 1) // is not sent behind it
+		f.do(f.loop, func() { f.Execute(1, &router.Operation{ID: "c", Flags: "Oc"}, 0.05, late) })
+		late.want(t, logic.NotSent)
+		f.do(f.loop, func() {
+			l := f.servers[1].links[0]
+			l.stalled()
+			k.room = 1000
+			long.Pull(k)
+			if k.got != 1000 || l.conn.In.Len()+k.got > 20<<10 || f.sends == 0 {
+				t.Errorf("%d bytes were taken, %d are held", k.got, l.conn.In.Len())
+			}
+			k.room = 2 * length
+			long.More()
+		})
+		for i := 0; k.ended != nil && len(k.ended) == 0 && i < 200; i++ {
+			time.Sleep(10 * time.Millisecond)
+			f.do(f.loop, func() {
+				if i == 100 && len(f.servers[1].links) > 0 { // by now nothing more comes
+					f.servers[1].links[0].stalled()
+				}
+			})
+		}
+		if got := <-k.ended; got != c.ends || k.got != c.gives {
+			t.Errorf("it ended %s with %d bytes, want %s with %d", got, k.got, c.ends, c.gives)
+		}
+		go func() { part <- 0 }() // to the one behind
+	}
 	f.do(f.loop, func() {
-		if f.Sends() != 3 {
-			t.Errorf("%d are counted as sent, want 3", f.Sends())
+		if f.Sends() != 4 {
+			t.Errorf("%d are counted as sent, want 4", f.Sends())
 		}
 	})
 }
+
+// results takes what an execution settles with.
+type results chan router.Result
+
+func (r results) Settled(_ logic.Outcome, with router.Result) { r <- with }
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -37,12 +37,16 @@
 	}
 }
 
-// Few descriptors must do as well: 20 are open without any connection.
+// Few descriptors must do as well: 20 are open without any connection, and as many as an operators' door has places; so they must
+// for each of two processes.
 func TestDescriptorsAreEnough(t *testing.T) {
-	for c := (Config{Sockets: 64, Memory: 64 << 20}); c.Sockets < 5000; c.Sockets += 7 {
-		c.derive()
-		if c.Clients < 1 || c.Caches < 1 || c.Clients+c.Spare+c.Caches+20 >= c.Sockets {
-			t.Errorf("of %d: %d for clients, %d to decline, %d for caches", c.Sockets, c.Clients, c.Spare, c.Caches)
+	for ops, more := range map[string]int{"": 20, "127.0.0.1:9180": 20 + OpsPlaces} {
+		for c := (Config{Sockets: 64, Memory: 64 << 20, Ops: ops}); c.Sockets < 5000; c.Sockets += 7 {
+			c.derive()
+			half := Config{Sockets: 2 * c.Sockets, Memory: 2 * c.Memory, Ops: ops}.Half()
+			if c.Clients < 1 || c.Caches < 1 || c.Clients+c.Spare+c.Caches+more >= c.Sockets || half.Clients != c.Clients || half.Held != c.Held {
+				t.Errorf("of %d: %d for clients, %d to decline, %d for caches", c.Sockets, c.Clients, c.Spare, c.Caches)
+			}
 		}
 	}
 }
@@ -85,6 +89,7 @@
 		{`{"name"`, `"name"`, "configuration: "},
 		{`127.0.0.4:11211`, `here`, "listen: not an address and a port"},
 		{`"discovery":"127.2.0.1:8500"`, `"discovery":7`, "discovery: not a text"},
+		{`"peer_listen"`, `"ops":"here","peer_listen"`, "ops: not an address and a port"},
 		{`"127.3.0.1:7946"`, `"x"`, "peers: not an address and a port"},
 		{`"cores":2.5`, `"cores":0`, "limits: cores: not above 0"},
 		{`"memory_mb":64`, `"memory_mb":"lots"`, "limits: memory_mb: not a number"},
@@ -126,6 +131,7 @@
 		{`"cores":2.5`, `"cores":2`, "limits"},
 		{`"openCap":33`, `"openCap":34`, "settings"},
 		{`"name":"t"`, `"name":"u"`, "settings"},
+		{`"peer_listen"`, `"ops":"127.0.0.4:1","peer_listen"`, "ops"},
 		{`127.0.0.4`, `127.0.0.5`, "listen peer_listen"},
 	} {
 		next, err := Parse([]byte(strings.ReplaceAll(whole, c.old, c.new)), env)
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -464,93 +464,101 @@
 	}
 }
 
-// Each operation that was taken counts once, as its client saw it end, and none stays open.
+// breaking is a long value that breaks off after a byte.
+type breaking struct{}
+
+func (breaking) Length() int { return 99999 }
+func (breaking) More()       {}
+func (breaking) Drop()       {}
+func (breaking) Pull(to router.Taker) {
+	to.Part([]byte("x"))
+	to.Broken()
+}
+
+// Each operation that was taken counts once, as its client saw it end; none stays open, and nothing held.
 func TestTally(t *testing.T) {
-	s := serve(t, bounds{Limits{Connections: 10, Spare: 1}, 3, 1 << 20})
-	ends := []func(*held){
-		func(h *held) { h.x.Settled(logic.Finished, router.Result{Value: []byte("v")}) },
-		func(h *held) { h.x.Settled(logic.Withdrawn, router.Result{}) }, // and no other server: declined
-	}
+	s := serve(t, bounds{Limits{Connections: 10, Spare: 1}, 1, 1 << 20})
 	conn, in := s.dial()
-	for i, end := range ends {
-		fmt.Fprintf(conn, "mg k v Ot%d Pc=t,d=4000\r\n", i)
-		h := <-s.began
-		s.loop.Post(func() { end(h) })
-		in.ReadString('\n')
-		if i == 0 {
-			in.ReadString('\n')
-		}
-	}
-	for i := range 4 { // three have a place
-		fmt.Fprintf(conn, "mg k v Ou%d Pc=t,d=4000\r\n", i)
-	}
-	fmt.Fprint(conn, "mg k v Ov Pc=none,d=4000\r\n")
-	for range 3 {
-		<-s.began
-	}
-	state := func() (open int, tally Tally) {
-		done := make(chan bool)
-		s.loop.Post(func() { open, tally = s.Open(), s.Tally("t"); close(done) })
-		<-done
-		return open, tally
-	}
-	if open, tally := state(); open != 4 || tally != (Tally{Answered: 1, Deferred: 1}) {
-		t.Errorf("%d are open, ends are %+v", open, tally)
+	begin := func(id string) *held {
+		fmt.Fprintf(conn, "mg k v O%s Pc=t,d=4000\r\n", id)
+		return <-s.began
 	}
+	settle := func(h *held, how logic.Outcome, with router.Result) { s.loop.Post(func() { h.x.Settled(how, with) }) }
+	s.finish(begin("1"), "x")
+	want(t, in, "VA 1 O1\r\nx\r\n")
+	settle(begin("2"), logic.Withdrawn, router.Result{}) // and no other server
+	want(t, in, "SERVER_ERROR busy\r\n")
+	third := begin("3")
+	fmt.Fprint(conn, "mg k v O4 Pc=t\r\nmg k v O5 Pc=none\r\nmg k v O3 Pc=t\r\n") // no place, no such type, another's id
+	s.loop.Post(func() { s.desk.core.Terminate(3) })
+	want(t, in, "SERVER_ERROR failed\r\nSERVER_ERROR busy\r\nCLIENT_ERROR the type c is unknown\r\nSERVER_ERROR busy\r\n")
+	settle(third, logic.Withdrawn, router.Result{})
+	conn, in = s.dial()
+	settle(begin("6"), logic.Finished, router.Result{Long: breaking{}})
+	want(t, in, "VA 99999 O6\r\nx")
+	conn, _ = s.dial()
+	begin("7")
 	conn.Close()
 	for i := 0; ; i++ {
-		open, tally := state()
-		if open == 0 {
-			if tally != (Tally{Answered: 1, Deferred: 1}) {
-				t.Errorf("after the client left ends are %+v", tally)
-			}
+		var open, held int
+		var tally Tally
+		s.do(func() { open, held, tally = s.Open(), s.desk.held, s.Tally("t") })
+		if open == 0 && held == 0 && tally == (Tally{Answered: 1, Deferred: 3, Errored: 2}) {
 			break
 		}
 		if i > 200 {
-			t.Fatalf("%d stay open", open)
+			t.Fatalf("%d are open, %d bytes held, ends are %+v", open, held, tally)
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
 }
 
-// Long writes come whole as far as memory is set apart for them; one beyond it is declined, and what follows it is read on. Its
-// memory is free again once the write has gone on, or its client has left in the middle.
+// Long writes come whole as far as memory is set apart for them; one beyond it is declined, and what follows it is read on. The memory
+// is free again once the write has gone on, its client has left, or its body has stood still for long.
 func TestLongWrites(t *testing.T) {
 	s := serve(t, bounds{Limits{Connections: 10, Spare: 1, Arriving: 300000}, 100, 1 << 20})
+	apart := func(want int) {
+		t.Helper()
+		for got, i := -1, 0; got != want; i++ {
+			if s.do(func() { got = s.arriving }); i > 2000 {
+				t.Fatalf("%d bytes are set apart, want %d", got, want)
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}
 	body := strings.Repeat("x", 200000)
 	conn, in := s.dial()
 	fmt.Fprintf(conn, "ms k %d O1 Pc=t\r\n%s", len(body), body[:100000])
+	apart(len(body))
 	other, otherIn := s.dial()
-	for s.arrived() != 200000 {
-		time.Sleep(time.Millisecond)
-	}
 	fmt.Fprintf(other, "ms k %d O2 Pc=t\r\n%s\r\nmn\r\n", len(body), body)
-	want(t, otherIn, "SERVER_ERROR busy\r\n")
-	want(t, otherIn, "SERVER_ERROR starting\r\n")
+	want(t, otherIn, "SERVER_ERROR busy\r\nSERVER_ERROR starting\r\n")
 	fmt.Fprintf(conn, "%s\r\n", body[100000:])
-	if h := <-s.began; string(h.op.Value) != body {
+	h := <-s.began
+	apart(0)
+	if string(h.op.Value) != body {
 		t.Errorf("%d bytes came", len(h.op.Value))
-	} else if s.arrived() != 0 {
-		t.Errorf("%d bytes are still set apart", s.arrived())
-	} else {
-		s.loop.Post(func() { h.x.Settled(logic.Finished, router.Result{Receipt: "r"}) })
 	}
+	s.loop.Post(func() { h.x.Settled(logic.Finished, router.Result{Receipt: "r"}) })
 	want(t, in, "HD O1 cr\r\n")
-	fmt.Fprintf(other, "ms k %d O3 Pc=t\r\n%s", len(body), body[:5])
-	for s.arrived() != 200000 {
-		time.Sleep(time.Millisecond)
-	}
-	other.Close()
-	for i := 0; s.arrived() != 0; i++ {
-		if i > 1000 {
-			t.Fatalf("%d bytes stay set apart for a client that left", s.arrived())
+	for _, c := range []struct{ since, quiet float64 }{{begins + 1, 0}, {begins + 1, standing + 1}, {lasting + 1, 0}, {0, 0}} {
+		conn, in := s.dial()
+		fmt.Fprintf(conn, "ms k %d O3 Pc=t\r\n%s", len(body), body[:5])
+		apart(len(body))
+		s.do(func() {
+			for c0 := range s.clients {
+				if c0.lengthy {
+					c0.began, c0.used = c0.began-c.since, c0.used-c.quiet
+				}
+			}
+			s.sweep()
+		})
+		if c.since > lasting || c.quiet > 0 {
+			want(t, in, "CLIENT_ERROR the command does not go on\r\n")
+		} else {
+			apart(len(body))
+			conn.Close()
 		}
-		time.Sleep(time.Millisecond)
+		apart(0)
 	}
 }
-
-// arrived is how many bytes are set apart.
-func (s served) arrived() (n int) {
-	s.do(func() { n = s.arriving })
-	return n
-}
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -62,3 +62,13 @@
 		t.Error("an address that is none was taken")
 	}
 }
+
+// A process that follows another hears at the same address.
+func TestAddressIsShared(t *testing.T) {
+	at := free(t, 1)[0]
+	for range 2 {
+		if _, err := Open(at, "", nil, 0, func([]byte) {}, zerolog.Nop()); err != nil {
+			t.Error(err)
+		}
+	}
+}
--- a/internal/service/helpers_test.go
+++ b/internal/service/helpers_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -71,29 +72,27 @@
 	return on(s, func() *desk { s.desk = &desk{s: s}; s.publish(); return s.desk }), addr, ended
 }
 
-// load asks on ever new connections until it is stopped, and counts what was not answered.
-func load(addr string) (stop func() (asked, failed int)) {
-	var done atomic.Bool
-	counts := make(chan [2]int)
-	for g := range 4 {
+// load asks on ever new connections until it is stopped; then all must have been answered, and many.
+func load(t *testing.T, addr string) (stop func()) {
+	var done, asked atomic.Int64
+	var all sync.WaitGroup
+	for range 4 {
+		all.Add(1)
 		go func() {
-			var c [2]int
-			for ; !done.Load(); c[0]++ {
-				if !strings.HasPrefix(ask(addr, fmt.Sprintf("mg k v Ol%d-%d Pc=t,d=1900", g, c[0])), "VA") {
-					c[1]++
+			defer all.Done()
+			for done.Load() == 0 {
+				if got := ask(addr, fmt.Sprintf("mg k v Ol%d Pc=t,d=1900", asked.Add(1))); !strings.HasPrefix(got, "VA") {
+					t.Errorf("under load it answers %q", got)
 				}
 				time.Sleep(2 * time.Millisecond)
 			}
-			counts <- c
 		}()
 	}
-	return func() (asked, failed int) {
-		done.Store(true)
-		for range 4 {
-			c := <-counts
-			asked, failed = asked+c[0], failed+c[1]
+	return func() {
+		done.Store(1)
+		if all.Wait(); asked.Load() < 100 {
+			t.Errorf("only %d were asked", asked.Load())
 		}
-		return asked, failed
 	}
 }
 
--- a/internal/service/long_test.go
+++ b/internal/service/long_test.go
@@ -13,45 +13,43 @@
 
 const long = 4 << 20
 
-// lengthy gives a long value, all of it or a part, or whatever else a key says.
+var value = bytes.Repeat([]byte("0123456789abcdef"), long/16)
+
+// lengthy gives a long value, all of it in pieces of any size or a part, as a key says.
 func lengthy(conn net.Conn, id, key string) {
-	value := bytes.Repeat([]byte("0123456789abcdef"), long/16)
-	switch key {
-	case "short":
+	part, partly := map[string]int{"head": 0, "half": long / 2, "silent": 100, "frame": long}[key]
+	switch {
+	case key == "short":
 		fmt.Fprintf(conn, "VA 2 O%s\r\nhi\r\n", id)
-		return
-	case "head", "half", "silent":
-		fmt.Fprintf(conn, "VA %d O%s\r\n%s", long, id, value[:map[string]int{"head": 0, "half": long / 2, "silent": 100}[key]])
+	case partly:
+		fmt.Fprintf(conn, "VA %d O%s\r\n%s", long, id, value[:part])
+		if key == "frame" {
+			io.WriteString(conn, "!!")
+		}
 		if key != "silent" {
 			conn.Close()
 		}
-		return
-	case "frame":
-		fmt.Fprintf(conn, "VA %d O%s\r\n%s!!", long, id, value)
-		return
-	}
-	fmt.Fprintf(conn, "VA %d O%s\r\n", long, id)
-	for piece := 1; len(value) > 0; piece = piece*3%50000 + 1 { // of any size
-		n := min(piece, len(value))
-		conn.Write(value[:n])
-		if value = value[n:]; key == "slow" && piece < 100 {
-			time.Sleep(time.Millisecond)
+	default:
+		fmt.Fprintf(conn, "VA %d O%s\r\n", long, id)
+		for rest, piece := value, 1; len(rest) > 0; piece = piece*3%50000 + 1 {
+			n, _ := conn.Write(rest[:min(piece, len(rest))])
+			if rest = rest[n:]; n == 0 {
+				return
+			}
+			if key == "slow" && piece < 100 {
+				time.Sleep(time.Millisecond)
+			}
 		}
+		io.WriteString(conn, "\r\n")
 	}
-	io.WriteString(conn, "\r\n")
 }
 
 // whole reads a long answer and tells what is wrong with it.
 func whole(in *bufio.Reader, id string) error {
-	if line, err := in.ReadString('\n'); line != fmt.Sprintf("VA %d O%s\r\n", long, id) {
-		return fmt.Errorf("it begins %q, %v", line, err)
-	}
-	value := make([]byte, long+2)
-	if n, err := io.ReadFull(in, value); err != nil {
-		return fmt.Errorf("%v after %d bytes", err, n)
-	}
-	if want := append(bytes.Repeat([]byte("0123456789abcdef"), long/16), "\r\n"...); !bytes.Equal(value, want) {
-		return fmt.Errorf("it is another value")
+	want := append(fmt.Appendf(nil, "VA %d O%s\r\n", long, id), value...)
+	got := make([]byte, len(want)+2)
+	if n, err := io.ReadFull(in, got); err != nil || !bytes.Equal(got, append(want, "\r\n"...)) {
+		return fmt.Errorf("%d bytes, %.40q, %v", n, got, err)
 	}
 	return nil
 }
@@ -90,13 +88,12 @@
 	t.Cleanup(func() { s.loop.Post(s.end) })
 	for _, key := range []string{"half", "frame"} {
 		_, in := asking(t, addr, key, key)
-		if err := whole(in, key); err == nil || !strings.Contains(err.Error(), "EOF") && !strings.Contains(err.Error(), "reset") {
-			t.Errorf("%s: %v", key, err)
+		if text, err := io.ReadAll(in); len(text) < long/2 || bytes.HasSuffix(text, []byte("\r\n")) {
+			t.Errorf("%s: %d bytes, %v", key, len(text), err)
 		}
 	}
-	_, in := asking(t, addr, "head", "head")
-	if line, err := in.ReadString('\n'); !strings.HasPrefix(line, "SERVER_ERROR") {
-		t.Errorf("with a head alone it answers %q, %v", line, err)
+	if got := ask(addr, "mg head v Ohead Pc=t,d=1900"); !strings.HasPrefix(got, "SERVER_ERROR") {
+		t.Errorf("with a head alone it answers %q", got)
 	}
 	conn, in := asking(t, addr, "left", "silent")
 	in.ReadString('\n')
--- a/internal/service/succession_test.go
+++ b/internal/service/succession_test.go
@@ -38,7 +38,7 @@
 	list, shared, addr := fleet(t, time.Millisecond), t.TempDir(), freeAddress(t)
 	s, ended := next(t, addr, list, shared)
 	serving(t, s)
-	stop := load(addr)
+	stop := load(t, addr)
 	early, earlyEnded := next(t, addr, "127.0.0.1:1", shared) // it never has a list
 	until(t, "the old one's notice", s, func() bool { return s.beside == 1 && s.bounds().Clients < s.conf.Clients })
 	gone(t, early, earlyEnded)
@@ -53,9 +53,7 @@
 	gone(t, one, oneEnded)
 	gone(t, s, ended)
 	until(t, "the whole limits", two, func() bool { return two.bounds().Clients == two.conf.Clients && two.taking() })
-	if asked, failed := stop(); failed > 0 || asked < 100 {
-		t.Errorf("of %d operations %d were not answered", asked, failed)
-	}
+	stop()
 	on(two, func() error { return two.drain(true) })
 	last, _ := next(t, addr, list, shared)
 	halted(t, two)
@@ -65,39 +63,37 @@
 	}
 }
 
-// The old process dies before its successor can serve: that one takes clients as soon as it can.
-func TestPredecessorDies(t *testing.T) {
-	list, shared, addr := fleet(t, 0), t.TempDir(), freeAddress(t)
-	s, _ := next(t, addr, list, shared)
-	after, _ := next(t, addr, "127.0.0.1:1", shared)
-	until(t, "the old one's notice", s, func() bool { return s.beside == 1 })
-	s.loop.Post(s.end)
-	until(t, "the notice of its end", after, func() bool { return after.beside == 0 })
-	before := ask(addr, "mn")
-	after.loop.Post(func() { after.platform.follow(list) })
-	serving(t, after)
-	if got := ask(addr, "mn"); before != "SERVER_ERROR starting" || got != "MN" {
-		t.Errorf("before it has a list it answers %q, then %q", before, got)
-	}
-}
-
-// Without a shared folder the address is shared, and the new process joins only once it serves.
-func TestUpgradeWithoutAFolder(t *testing.T) {
-	list, addr := fleet(t, time.Millisecond), freeAddress(t)
-	s, ended := next(t, addr, list, "")
-	serving(t, s)
-	waits, _ := next(t, addr, "127.0.0.1:1", "")
-	for range 20 {
+// One that cannot serve yet takes no client from the process before it, by sockets handed over or, without a folder, a shared address;
+// it takes them as soon as it can, whether that one has ended, been killed before, or goes on.
+func TestNotBeforeItServes(t *testing.T) {
+	for _, c := range []struct{ folder, killed bool }{{true, true}, {true, false}, {false, false}} {
+		list, shared, addr := fleet(t, 0), "", freeAddress(t)
+		if c.folder {
+			shared = t.TempDir()
+		}
+		s, ended := next(t, addr, list, shared)
+		serving(t, s)
+		after, _ := next(t, addr, "127.0.0.1:1", shared)
+		want := "MN"
+		if c.killed {
+			want = "SERVER_ERROR starting"
+			s.loop.Post(s.end)
+			until(t, "the notice of its end", after, func() bool { return after.beside == 0 })
+		}
+		for range 20 {
+			if got := ask(addr, "mn"); got != want {
+				t.Fatalf("%v: before the next serves it answers %q", c, got)
+			}
+		}
+		after.loop.Post(func() { after.platform.follow(list) })
+		serving(t, after)
+		if !c.killed {
+			gone(t, s, ended)
+		}
 		if got := ask(addr, "mn"); got != "MN" {
-			t.Fatalf("beside one that does not serve it answers %q", got)
+			t.Errorf("%v: the next one answers %q", c, got)
 		}
 	}
-	waits.loop.Post(func() { waits.platform.follow(list) })
-	serving(t, waits)
-	gone(t, s, ended)
-	if got := ask(addr, "mn"); got != "MN" {
-		t.Errorf("the new one answers %q", got)
-	}
 }
 
 // What the process before was told last is known from the start: the list service may be silent, and a drain must be kept. What cannot
@@ -164,7 +160,7 @@
 		return nil, ""
 	}
 	p, ops := start()
-	stop := load(addr)
+	stop := load(t, addr)
 	for range 2 {
 		time.Sleep(200 * time.Millisecond)
 		old := p
@@ -174,9 +170,7 @@
 			t.Errorf("the old process ends with %v", err)
 		}
 	}
-	if asked, failed := stop(); failed > 0 || asked < 50 {
-		t.Errorf("of %d operations %d were not answered", asked, failed)
-	}
+	stop()
 	for i, call := range []string{"disable", "enable"} {
 		answer, err := http.Post("http://"+ops+"/cache-servers/"+call, "", strings.NewReader("s-1"))
 		if err != nil || answer.StatusCode != http.StatusOK {
