Keep placement: a traffic type goes only to the zones and kinds it is bound to

Checked: the settings' trafficTypes[].allowedOn and runsIn were not read; mayExecute, the one place through which every execution goes, knew of modes, bans and groups alone. Change: the settings carry both, placed() is asked in mayExecute, by the list as it is at that moment. It guards against any list that changes a server's zone or kind under an open operation. Harm: where few servers are open to a type, its keys spill over them.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -98,6 +98,8 @@
 		{`8c1f30d27a5be964`, `seed`, "seed: not up to 16 hexadecimal digits"},
 		{`"settings"`, `"setting"`, "settings: not an object"},
 		{`"hardStop":750000000`, `"hardStop":"soon"`, "settings: trafficTypes: hardStop: not a number"},
+		{`"hardStop":750000000`, `"hardStop":750000000,"runsIn":[]`, "settings: trafficTypes: runsIn: names nothing"},
+		{`"hardStop":750000000`, `"hardStop":750000000,"allowedOn":[7]`, "settings: trafficTypes: allowedOn: holds what is not a text"},
 		{`"trafficTypes":[{"name":"t","hardStop":750000000}]`, `"trafficTypes":[]`, "settings: trafficTypes: none"},
 		{`"settings":{`, `"settings":{"familyInfo":{"mode":"aside"},`, `settings: familyInfo: mode: "aside" is none of through`},
 		{`"settings":{`, `"settings":{"weights":"heavy",`, `settings: weights: "heavy" is none of off, nominal, rough, live`},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -31,6 +31,7 @@
 		TipMultiple:    rules.Number("tipMultiple"),
 		StartCapacity:  rules.Number("startCapacity"),
 		WarmWithin:     rules.Seconds("warmWithin"),
+		StampError:     rules.Seconds("bootStampError"),
 	}
 	if !limits.Flag("retryAfter") {
 		set.MaxRetryAfter = 0 // none is passed on
@@ -39,10 +40,24 @@
 		set.TrafficTypes = append(set.TrafficTypes, logic.TrafficType{Name: t.Text("name"),
 			Effect: effects[t.Text("effect")], Group: groups[t.Text("keyScope")], Window: t.Seconds("dedupWindow"),
 			PromisedTime: t.Seconds("promisedTime"), HardStop: t.Seconds("hardStop"),
-			Benefit: t.Number("benefit"), OverdueBenefit: t.Number("overdueBenefit"), Stream: t.Flag("stream")})
+			Benefit: t.Number("benefit"), OverdueBenefit: t.Number("overdueBenefit"), Stream: t.Flag("stream"),
+			RunsIn: t.places("runsIn"), AllowedOn: t.places("allowedOn")})
 	}
 	for _, t := range o.List("tenants") {
 		set.Tenants = append(set.Tenants, logic.Tenant{Name: t.Text("name"), Quota: t.Number("quotaRps")})
 	}
 	return set
 }
+
+// places reads the names to which alone a traffic type may be sent, nil where it is not bound. A list without any would
+// leave it nowhere to run, which nobody means.
+func (o *Object) places(field string) []string {
+	if o.Absent(field) {
+		return nil
+	}
+	names := o.Texts(field)
+	if len(names) == 0 && len(o.values(field)) == 0 {
+		o.Fault(field, "names nothing; leave it out where any will do")
+	}
+	return names
+}
--- a/logic/host.go
+++ b/logic/host.go
@@ -113,6 +113,8 @@
 	Benefit        float64
 	OverdueBenefit float64 // part of the benefit that an answer after the promised time brings
 	Stream         bool
+	RunsIn         []string // the zones to which alone it may be sent; nil: all
+	AllowedOn      []string // the kinds of machine to which alone it may be sent; nil: all
 }
 
 // Tenant holds the settings of one tenant.
@@ -144,6 +146,7 @@
 	TipMultiple    float64
 	StartCapacity  float64
 	WarmWithin     float64
+	StampError     float64 // by which Member.Started may be off, in either direction
 	TrafficTypes   []TrafficType
 	Tenants        []Tenant
 }
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -147,8 +147,8 @@
 		r.servers[m.ID] = s
 		moved = moved || s.Mode != m.Mode || s.Started != m.Started
 		if m.Mode == InService && (m.Started > s.Started || s.Mode != InService) {
-			*s = server{share: 1, slow: 1, joint: 1, out: s.out, fresh: m.Started, filled: now, barred: s.barred,
-				budget: r.chance()} // one for each of many routers would be too much together
+			*s = server{share: 1, slow: 1, joint: 1, out: s.out, filled: now, barred: s.barred,
+				fresh: r.latest(m.Started), budget: r.chance()} // one for each of many routers would be too much together
 		}
 		size := m.Capacity
 		if r.set.Weights == Live {
@@ -177,6 +177,14 @@
 	}
 }
 
+// latest is when a server may have started by its stamp: the fourth rule goes by its true start.
+func (r *Router) latest(stamp float64) float64 {
+	if stamp == 0 { // long ago
+		return 0
+	}
+	return min(stamp+r.set.StampError, max(stamp, r.now))
+}
+
 // Barred takes that operators leave a cache out, whatever lists say, or that it may serve again: then it may
 // have started anew, cold, before a list tells of that (rule 4).
 func (r *Router) Barred(now float64, id uint64, out bool) {
@@ -525,12 +533,20 @@
 }
 
 func (r *Router) mayExecute(op *operation, s *server) bool {
-	return r.mayGoOn(op) && s.Mode == InService && !s.barred && !op.any(func(e *execution) bool {
+	ready := s.Mode == InService && !s.barred && op.row.placed(s)
+	return ready && r.mayGoOn(op) && !op.any(func(e *execution) bool {
 		outside := op.row.Group == Zone && e.on.Zone != s.Zone || op.row.Group == Cell && e.on.Cell != s.Cell
 		return !e.harmless && op.row.Effect == Numbered && outside
 	})
 }
 
+// placed tells whether a type may be sent to a server at all, by what the list says of it now: where none may
+// take it, it ends, however idle the others are.
+func (t *row) placed(s *server) bool {
+	open := func(names []string, name string) bool { return names == nil || slices.Contains(names, name) }
+	return open(t.RunsIn, s.Zone) && open(t.AllowedOn, s.Kind)
+}
+
 func (r *Router) mayDecline(op *operation) bool {
 	return op.row.Effect == Reissuable || op.row.Effect == Numbered && op.row.Group == All ||
 		!op.any(func(e *execution) bool { return !e.harmless })
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -100,6 +100,52 @@
 	}
 }
 
+// A type that is bound went to whichever server its key was nearest to (friesland-clubs, placement at 0.03 s).
+func TestPlacementHoldsAtEveryExecution(t *testing.T) {
+	bind := func(s *Settings) { s.TrafficTypes[0].AllowedOn, s.TrafficTypes[0].RunsIn = []string{"frugal"}, []string{"a"} }
+	for what, others := range map[string]Member{"of another kind": {Zone: "a", Kind: "usual"},
+		"in another zone": {Zone: "b", Kind: "frugal"}, "unnamed": {}} {
+		r, did := fleet(0, bind)
+		list := []Member{{ID: 1, Mode: InService, Capacity: 1, Zone: "a", Kind: "frugal"}}
+		for id := uint64(2); id < 9; id++ {
+			others.ID, others.Mode, others.Capacity = id, InService, 1
+			list = append(list, others)
+		}
+		r.Listed(0, Snapshot, list)
+		for key := range uint64(20) {
+			r.Arrived(1, key, "view", "", fmt.Sprint(key), 1)
+			expect(t, "a bound type beside those "+what, did.last(), fmt.Sprintf("execute %d on 1", key))
+		}
+		r.Settled(1.01, 3, 0, Error, 0.01, false)
+		expect(t, "no further execution on those "+what, did.last(), "decline 3 after true")
+		for _, change := range []Member{{ID: 1, Mode: Draining, Zone: "a", Kind: "frugal"}, {ID: 1, Mode: Gone}} {
+			r.Listed(1.1, Diff, []Member{change})
+			r.Arrived(1.2, 90, "view", "", "k", 1)
+			expect(t, "all that are open to it out, beside those "+what, did.last(), "decline 90 after true")
+		}
+		r.Arrived(1.3, 91, "pay", "", "k", 1)
+		expect(t, "an unbound type", r.ops[91] != nil, true)
+	}
+	r, did := fleet(1, bind) // in the right zone, of no kind: the list corrects it while an operation is open
+	list := []Member{{ID: 1, Mode: InService, Capacity: 1, Zone: "a", Kind: "frugal"}, {ID: 2, Mode: InService, Capacity: 1, Zone: "a", Kind: "frugal"}}
+	r.Listed(0, Snapshot, list)
+	r.Arrived(1, 5, "view", "", "k", 1)
+	first := r.ops[5].executions[0].on.ID
+	list[2-first].Zone = "b"
+	r.Listed(1.1, Diff, list)
+	r.Settled(1.2, 5, 0, NoConnection, 0.1, false)
+	expect(t, "the other has moved out of its zone", did.last(), "decline 5 after true")
+}
+
+// A start that is stamped too early makes a cold server look warm: the fourth rule goes by its true start.
+func TestStampsMayBeOff(t *testing.T) {
+	for stamp, want := range map[float64]float64{0: 0, 10: 15, 28: 30, 31: 31} {
+		r, _ := fleet(0, func(s *Settings) { s.StampError = 5 })
+		r.Listed(30, Diff, []Member{{ID: 1, Mode: InService, Started: stamp}})
+		expect(t, fmt.Sprint("start of one stamped ", stamp), r.servers[1].fresh, want)
+	}
+}
+
 func TestNoTwoAtOnceWhereBarredAndNothingNewToADrainingServer(t *testing.T) {
 	r, _ := fleet(2, func(s *Settings) { s.SecondCopies = false })
 	expect(t, "second copy", r.mayExecute(begun(r, "view", r.servers[1], true, false), r.servers[2]), false)
