Ask the origin again for what a cache lacks, where the settings leave that to the router

Checked: familyInfo.mode is "aside" at both; a miss comes back as not_stored and went to the next cache, which lacked the key too, until the attempts were spent. To blame: further, which knew no origin since. Back come the origin's servers apart from the caches, its bound (up by one for each full round answered within half of the promised time, down by a third) and nothing else: writes go to a cache first, whose miss proves that they never ran; probes before the first execution, held operations and closed connections stay out. Where the settings do not say aside nothing changes. It guards also against an origin that slows or stops: its bound falls. Harm: an origin that answers seldom within half of the promised time is asked by one execution a router at a time.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -33,6 +33,10 @@
 		WarmWithin:     rules.Seconds("warmWithin"),
 		StampError:     rules.Seconds("bootStampError"),
 	}
+	at, names := int(family.Number("originKind")), o.Texts("kinds")
+	if set.Aside = family.Text("mode") == "aside"; set.Aside && at >= 0 && at < len(names) {
+		set.OriginKind = names[at]
+	}
 	if !limits.Flag("retryAfter") {
 		set.MaxRetryAfter = 0 // none is passed on
 	}
--- a/logic/host.go
+++ b/logic/host.go
@@ -130,6 +130,8 @@
 	Routers        int
 	Step           float64 // events come no more often than this
 	Ordered        bool    // an execution waits for those sent to its server before it
+	Aside          bool    // a cache that lacks a key says so, and the router asks the origin
+	OriginKind     string  // the origin's servers, in the list, are of this kind; "": it is not in the list
 	OnRequest      bool    // the list comes only when asked for
 	Apart          bool    // each realm has further executions of its own
 	Weights        Weights // what Member.Capacity tells
@@ -166,6 +168,7 @@
 	quotas       float64            // of all tenants
 	servers      map[uint64]*server // every server that a list has named
 	ready        []*server          // the caches in service, by id
+	origins      []*server          // the origin's servers in service, by id
 	size         float64            // the mean of theirs
 	points       []point            // of the ready caches
 	orders       [slots][]point     // the points most similar to a slot, kept until membership changes
@@ -213,6 +216,7 @@
 	until          float64 // passed over until then, after failures
 	down           bool    // refused connections since it last answered
 	barred         bool    // operators leave it out
+	limit, lowered float64 // origin: executions it may hold of this router, and when that was lowered
 	fresh          float64 // when it is taken to have started; 0: long ago
 	budget, filled float64 // executions that may be sent to it while it is cold, and when that was filled
 }
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -143,11 +143,11 @@
 	}
 	seen, moved := map[*server]bool{}, false
 	for _, m := range members {
-		s := cmp.Or(r.servers[m.ID], &server{})
+		s := cmp.Or(r.servers[m.ID], &server{limit: 4}) // the origin's start: a few, grown by what it bears
 		r.servers[m.ID] = s
 		moved = moved || s.Mode != m.Mode || s.Started != m.Started
 		if m.Mode == InService && (m.Started > s.Started || s.Mode != InService) {
-			*s = server{share: 1, slow: 1, joint: 1, out: s.out, filled: now, barred: s.barred,
+			*s = server{share: 1, slow: 1, joint: 1, out: s.out, filled: now, barred: s.barred, limit: s.limit,
 				fresh: r.latest(m.Started), budget: r.chance()} // one for each of many routers would be too much together
 		}
 		size := m.Capacity
@@ -216,14 +216,18 @@
 
 // regroup sets up the ready caches after a change of membership.
 func (r *Router) regroup() {
-	r.ready, r.points, r.size = nil, nil, 0
+	r.ready, r.origins, r.points, r.size = nil, nil, nil, 0
 	largest := 0.0
 	for _, s := range r.servers {
-		if s.Mode == InService && !s.barred {
+		if s.Mode == InService && !s.barred && r.isOrigin(s) {
+			r.origins = append(r.origins, s)
+		} else if s.Mode == InService && !s.barred {
 			r.ready, largest = append(r.ready, s), max(largest, s.size)
 		}
 	}
-	slices.SortFunc(r.ready, func(a, b *server) int { return cmp.Compare(a.ID, b.ID) })
+	byID := func(a, b *server) int { return cmp.Compare(a.ID, b.ID) }
+	slices.SortFunc(r.ready, byID)
+	slices.SortFunc(r.origins, byID)
 	var ends [slots + 1]int // by counting: a growing fleet is ranked often, and comparing took half of all time
 	all := make([]point, 0, places*len(r.ready))
 	for _, s := range r.ready {
@@ -348,7 +352,7 @@
 // sizes are told. Each router keeps to its own part.
 func (r *Router) tips(s *server) bool {
 	w := r.warmth(s)
-	if w >= 1 || r.set.Fall <= 0 {
+	if w >= 1 || r.set.Fall <= 0 || r.isOrigin(s) { // it has a bound of its own
 		return false
 	}
 	mean, unseen := r.finishing()/float64(max(1, len(r.ready)))/2, 1/r.set.Fall/float64(r.set.Routers)
@@ -533,7 +537,7 @@
 }
 
 func (r *Router) mayExecute(op *operation, s *server) bool {
-	ready := s.Mode == InService && !s.barred && op.row.placed(s)
+	ready := s.Mode == InService && !s.barred && (op.row.placed(s) || r.isOrigin(s))
 	return ready && r.mayGoOn(op) && !op.any(func(e *execution) bool {
 		outside := op.row.Group == Zone && e.on.Zone != s.Zone || op.row.Group == Cell && e.on.Cell != s.Cell
 		return !e.harmless && op.row.Effect == Numbered && outside
@@ -595,7 +599,7 @@
 	if final || op.answered {
 		r.end(op)
 	} else {
-		r.further(op, e)
+		r.further(op, e, how)
 	}
 }
 
@@ -607,12 +611,19 @@
 			s.fresh, s.filled, s.budget = r.now, r.now, r.chance()
 		}
 		s.fails, s.down = 0, false
+		if r.isOrigin(s) {
+			break // the flow and the part that finishes are the caches'
+		}
 		span := max(1, r.set.WarmWithin)
 		r.flow, r.flowAt = r.flow*math.Exp((r.flowAt-r.now)/span)+1/span, r.now
 		r.taken += (1 - r.taken) / 16
 		r.won++
 		*e.of.purse = min(*e.of.purse+0.1, 10) // a tenth more executions than finish at most: no storm of repeats
 	case TurnedAway: // it has no place, which tells nothing of how long it takes, nor of its health
+		if r.isOrigin(s) {
+			r.bear(s, how, lag, t)
+			return
+		}
 		r.taken -= r.taken / 16
 		return
 	case Error, NoConnection, ConnectionLost, NoAnswer, Unknown:
@@ -632,6 +643,12 @@
 	default:
 		return
 	}
+	if r.isOrigin(s) {
+		r.bear(s, how, lag, t)
+	}
+	if how == NotStored || r.isOrigin(s) {
+		return // neither a miss nor a fetch tells of the usual path
+	}
 	if how == Finished {
 		t.lag, t.heard = max(t.lag+(lag-t.lag)/16, 1e-6), r.now
 	}
@@ -715,11 +732,20 @@
 }
 
 // further goes on after an execution without an answer, if the time left is enough.
-func (r *Router) further(op *operation, e *execution) {
+func (r *Router) further(op *operation, e *execution, how Outcome) {
 	if op.any((*execution).isOut) {
 		return
 	}
-	s := r.choose(op)
+	s := (*server)(nil)
+	if missed := e.harmless && !e.on.down && r.set.Aside && (how == NotStored || r.isOrigin(e.on)); missed {
+		if s = r.origin(op); s != nil {
+			r.execute(op, s)
+		} else {
+			r.giveUp(op, Strained)
+		}
+		return
+	}
+	s = r.choose(op)
 	// Where nearly all are full, each further try crowds them more: most of these come from the purse, too.
 	room := e.harmless && (e.on.down || r.chance() < 2*r.taken)
 	if s != nil && op.hardStop-r.now > r.expect(op, s) && (room || *op.purse >= 1) {
@@ -734,6 +760,31 @@
 	}
 }
 
+func (r *Router) isOrigin(s *server) bool { return r.set.Aside && s.Kind == r.set.OriginKind }
+
+// origin picks the least busy server of the origin that bears one more, or none. It is slow, all share it, and
+// what is sent over its bound keeps it from answering at all.
+func (r *Router) origin(op *operation) (best *server) {
+	for _, s := range r.origins {
+		room := float64(len(s.out)) < s.limit*math.Sqrt(op.worth)
+		if room && r.mayExecute(op, s) && (best == nil || len(s.out) < len(best.out)) {
+			best = s
+		}
+	}
+	return best
+}
+
+// bear moves the bound of what the origin is sent: up by one for each full round that it answers in half of
+// the promised time, down by a third, once a round, where it does not.
+func (r *Router) bear(s *server, how Outcome, lag float64, t *row) {
+	switch inTime := how == Finished && lag < t.PromisedTime/2; {
+	case inTime && float64(len(s.out))+1 >= s.limit/2:
+		s.limit += 1 / s.limit
+	case !inTime && r.now-s.lowered > lag:
+		s.limit, s.lowered = max(1, s.limit*2/3), r.now
+	}
+}
+
 // expect is the time that an execution on s should take. What was seen fades within eight promised times.
 func (r *Router) expect(op *operation, s *server) float64 {
 	fade := func(heard float64) float64 { return math.Exp((heard - r.now) / op.row.PromisedTime / 8) }
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -102,7 +102,9 @@
 
 // A type that is bound went to whichever server its key was nearest to (friesland-clubs, placement at 0.03 s).
 func TestPlacementHoldsAtEveryExecution(t *testing.T) {
-	bind := func(s *Settings) { s.TrafficTypes[0].AllowedOn, s.TrafficTypes[0].RunsIn = []string{"frugal"}, []string{"a"} }
+	bind := func(s *Settings) {
+		s.TrafficTypes[0].AllowedOn, s.TrafficTypes[0].RunsIn = []string{"frugal"}, []string{"a"}
+	}
 	for what, others := range map[string]Member{"of another kind": {Zone: "a", Kind: "usual"},
 		"in another zone": {Zone: "b", Kind: "frugal"}, "unnamed": {}} {
 		r, did := fleet(0, bind)
@@ -137,6 +139,51 @@
 	expect(t, "the other has moved out of its zone", did.last(), "decline 5 after true")
 }
 
+// aside starts a router that asks the origin, 99, for what a cache lacks.
+func aside(n int) (*Router, *notes) {
+	r, did := fleet(n, func(s *Settings) { s.Aside, s.OriginKind = true, "origin" })
+	r.Listed(0, Diff, []Member{{ID: 99, Mode: InService, Capacity: 1, Zone: "far", Kind: "origin"}})
+	did.did = nil
+	return r, did
+}
+
+// What a cache lacked was asked of the next cache, which lacked it too (tuinen-gelderland: two attempts an operation).
+func TestMissGoesToTheOrigin(t *testing.T) {
+	r, did := aside(3)
+	expect(t, "the origin among the caches", len(r.ready), 3)
+	begun(r, "pay", r.servers[1], true, false)
+	r.rows["pay"].RunsIn = []string{"a"} // placement is of caches: every type may use the origin
+	r.Settled(0.01, 7, 0, NotStored, 0.01, false)
+	expect(t, "a miss", did.last(), "execute 7 on 99")
+	r.Settled(0.02, 7, 1, Error, 0.01, false)
+	expect(t, "an effect that may have been", did.last(), "terminate 7")
+}
+
+func TestOriginIsAskedWithinWhatItBears(t *testing.T) {
+	r, did := aside(1)
+	o, row := r.servers[99], r.rows["view"]
+	o.out = make([]*execution, 3)
+	r.bear(o, Finished, 0.01, row)
+	expect(t, "bound after an answer", o.limit, 4.25)
+	o.out = make([]*execution, 5)
+	begun(r, "view", r.servers[1], true, false)
+	r.Settled(1, 7, 0, NotStored, 0.01, false)
+	expect(t, "a miss beyond it", did.last(), "decline 7 after true")
+	o.out = make([]*execution, 2)
+	op := begun(r, "view", r.servers[1], false, true)
+	expect(t, "within its share", r.origin(op) != nil, true)
+	op.worth = 0.05
+	expect(t, "beyond its share", r.origin(op) != nil, false)
+	r.bear(o, TurnedAway, 0.01, row)
+	expect(t, "bound after a refusal", math.Round(o.limit*100), 283.0)
+	flow, fails := r.flow, r.servers[1].fails
+	o.out = nil
+	op = begun(r, "view", o, true, false)
+	r.learn(op.executions[0], Finished, 0.3)
+	expect(t, "what caches finish", r.flow, flow)
+	expect(t, "a cache's failures", r.servers[1].fails, fails)
+}
+
 // A start that is stamped too early makes a cold server look warm: the fourth rule goes by its true start.
 func TestStampsMayBeOff(t *testing.T) {
 	for stamp, want := range map[float64]float64{0: 0, 10: 15, 28: 30, 31: 31} {
@@ -201,7 +248,7 @@
 	r, did := fleet(2, nil)
 	op := begun(r, "view", r.servers[1], false, true)
 	op.hardStop = r.now + r.rows["view"].lag/2
-	r.further(op, op.executions[0])
+	r.further(op, op.executions[0], Error)
 	expect(t, "action", did.last(), "decline 7 after true")
 }
 
@@ -210,7 +257,7 @@
 		r, did := fleet(2, nil)
 		r.spare = spare
 		op := begun(r, "view", r.servers[1], false, false)
-		r.further(op, op.executions[0])
+		r.further(op, op.executions[0], Error)
 		expect(t, "action", did.last(), want)
 	}
 }
@@ -803,7 +850,7 @@
 			r, did := fleet(2, func(s *Settings) { s.Seed = seed })
 			r.taken, r.servers[1].down = c.taken, c.down
 			op := begun(r, "view", r.servers[1], false, true)
-			if r.further(op, op.executions[0]); did.last() == "execute 7 on 2" {
+			if r.further(op, op.executions[0], Error); did.last() == "execute 7 on 2" {
 				went++
 			}
 		}
