Let errors that follow an operation bench no server and count as no strain

Checked: errors come for certain keys at any server, quick, and other operations finish there meanwhile; the watchdog restarted one server in all, so it is not the cause. It guards also against poisoned keys and faulty callers. Harm: two servers that fail at once share the blame with a key's slot until anything of that slot finishes.

--- a/logic/host.go
+++ b/logic/host.go
@@ -173,6 +173,7 @@
 	points       []point            // of the ready caches
 	orders       [slots][]point     // the points most similar to a slot, kept until membership changes
 	heat, heated [slots]float64     // uses of a slot lately, and the count of uses when that was reckoned
+	faulty       [slots]float64     // errors in a row at several servers of what has keys at a slot
 	uses, recent float64            // uses of all slots, and those that are lately
 	ops          map[uint64]*operation
 	flying       int                 // executions in flight
@@ -246,4 +247,5 @@
 	n             int
 	sent          float64
 	out, harmless bool // not settled; proved never to have run
+	erred         bool // its server answered with an error
 }
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -605,12 +605,16 @@
 
 func (r *Router) learn(e *execution, how Outcome, lag float64) {
 	s, t := e.on, e.of.row
+	if e.erred = how == Error; e.erred && r.blamed(e) {
+		r.won++ // the server does its work: what is shed for lost ones must not go on for these
+		return
+	}
 	switch how {
 	case Finished, NotStored:
 		if s.down && s.fails >= 5 { // it refused three times or more and is back: it may have started anew, cold
 			s.fresh, s.filled, s.budget = r.now, r.now, r.chance()
 		}
-		s.fails, s.down = 0, false
+		s.fails, s.down, r.faulty[e.of.hash%slots] = 0, false, 0
 		if r.isOrigin(s) {
 			break // the flow and the part that finishes are the caches'
 		}
@@ -667,6 +671,19 @@
 	}
 }
 
+// blamed tells that an error follows the operation, not the server: another server answered it so, too, or those
+// with its keys were of late. Such errors bench nobody.
+func (r *Router) blamed(e *execution) bool {
+	faulty := &r.faulty[e.of.hash%slots]
+	for _, x := range e.of.executions {
+		if x.erred && x.on != e.on {
+			x.on.fails, *faulty = max(0, x.on.fails-1), *faulty+1
+			return true
+		}
+	}
+	return *faulty >= 1
+}
+
 // seem moves a cache's slowness, and gently the part of its points: the keys that move miss.
 func (s *server) seem(now, took float64) {
 	s.slow, s.heard = s.slow+(min(took, 4)-s.slow)/8, now // a single long one says little
@@ -736,18 +753,12 @@
 	if op.any((*execution).isOut) {
 		return
 	}
-	s := (*server)(nil)
-	if missed := e.harmless && !e.on.down && r.set.Aside && (how == NotStored || r.isOrigin(e.on)); missed {
-		if s = r.origin(op); s != nil {
-			r.execute(op, s)
-		} else {
-			r.giveUp(op, Strained)
-		}
-		return
+	s, missed := r.choose(op), r.set.Aside && (how == NotStored || e.harmless && r.isOrigin(e.on))
+	if missed {
+		s = r.origin(op)
 	}
-	s = r.choose(op)
 	// Where nearly all are full, each further try crowds them more: most of these come from the purse, too.
-	room := e.harmless && (e.on.down || r.chance() < 2*r.taken)
+	room := missed || e.harmless && (e.on.down || r.chance() < 2*r.taken)
 	if s != nil && op.hardStop-r.now > r.expect(op, s) && (room || *op.purse >= 1) {
 		if !room {
 			*op.purse--
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -184,6 +184,46 @@
 	expect(t, "a cache's failures", r.servers[1].fails, fails)
 }
 
+// Errors that follow some keys benched the servers these keys are nearest to, and shed the rest (prikbord-nl, big-2).
+func TestErrorsOfAnOperationsOwnBenchNoServer(t *testing.T) {
+	r, did := fleet(4, nil)
+	r.spare = 9
+	for id := range uint64(9) {
+		r.Arrived(1, id, "view", "", "faulty", 1)
+		for n := 0; r.ops[id] != nil && n < 3; n++ {
+			r.Settled(1, id, n, Error, 0.01, false)
+		}
+		expect(t, "final answer", did.last(), fmt.Sprintf("decline %d after true", id))
+	}
+	for _, s := range r.ready {
+		expect(t, fmt.Sprint("passed over: ", s.ID), s.fails >= 3, false)
+	}
+	r.lost, r.won = 30, 8
+	for id := range uint64(400) {
+		r.fruitless()
+		r.Arrived(2, 100+id, "view", "", "faulty", 1)
+		r.Settled(2, 100+id, 0, Error, 0.01, false)
+	}
+	expect(t, "shed for such errors", r.lost > r.won, false)
+	r, _ = fleet(4, nil)
+	r.spare = 9
+	bad := uint64(0)
+	for id := range uint64(60) { // one that truly fails, whatever it is sent
+		r.Arrived(1, id, "view", "", "k", 1)
+		if bad == 0 {
+			bad = r.ops[id].executions[0].on.ID
+		}
+		for n := 0; r.ops[id] != nil; n++ {
+			how := Finished
+			if r.ops[id].executions[n].on.ID == bad {
+				how = Error
+			}
+			r.Settled(1, id, n, how, 0.01, how == Finished)
+		}
+	}
+	expect(t, "one that fails is passed over", r.Avoids(bad), true)
+}
+
 // A start that is stamped too early makes a cold server look warm: the fourth rule goes by its true start.
 func TestStampsMayBeOff(t *testing.T) {
 	for stamp, want := range map[float64]float64{0: 0, 10: 15, 28: 30, 31: 31} {
