Let contracts bind traffic types to zones and kinds of machine, and show it by check

runs_in and allowed_on of a [[team.type]], the same rule as the settings' runsIn and allowedOn, since a team's types are offered to the same module; a list that names nothing is a fault by line and key. check prints the places of the platform's types and, in a column of its own, of contracts'.

--- a/internal/operators/contracts.go
+++ b/internal/operators/contracts.go
@@ -60,14 +60,16 @@
 
 // Type is a traffic type of a team.
 type Type struct {
-	Name           string  `toml:"name"`
-	Effect         string  `toml:"effect"`
-	Group          string  `toml:"group"`
-	Window         float64 `toml:"window"`
-	PromisedMS     float64 `toml:"promised_ms"`
-	HardStopMS     float64 `toml:"hard_stop_ms"`
-	Benefit        float64 `toml:"benefit"`
-	OverdueBenefit float64 `toml:"overdue_benefit"`
+	Name           string   `toml:"name"`
+	Effect         string   `toml:"effect"`
+	Group          string   `toml:"group"`
+	Window         float64  `toml:"window"`
+	PromisedMS     float64  `toml:"promised_ms"`
+	HardStopMS     float64  `toml:"hard_stop_ms"`
+	Benefit        float64  `toml:"benefit"`
+	OverdueBenefit float64  `toml:"overdue_benefit"`
+	RunsIn         []string `toml:"runs_in"`    // zones; left out: any
+	AllowedOn      []string `toml:"allowed_on"` // kinds of machine; left out: any
 }
 
 var (
@@ -219,6 +221,11 @@
 		if !(k.OverdueBenefit >= 0 && k.OverdueBenefit <= 1) {
 			f.from.Fault(key("overdue_benefit"), "%v is not between 0 and 1", k.OverdueBenefit)
 		}
+		for name, places := range map[string][]string{"runs_in": k.RunsIn, "allowed_on": k.AllowedOn} {
+			if places != nil && len(places) == 0 || slices.Contains(places, "") {
+				f.from.Fault(key(name), "%q leaves it nowhere to run; name at least one, or leave it out where any will do", places)
+			}
+		}
 	}
 }
 
@@ -252,7 +259,7 @@
 		for _, k := range t.Types {
 			terms.Types = append(terms.Types, logic.TrafficType{Name: k.Name, Effect: effects[k.Effect], Group: groups[k.Group],
 				Window: k.Window, PromisedTime: k.PromisedMS / 1e3, HardStop: k.HardStopMS / 1e3, Benefit: k.Benefit,
-				OverdueBenefit: k.OverdueBenefit})
+				OverdueBenefit: k.OverdueBenefit, RunsIn: k.RunsIn, AllowedOn: k.AllowedOn})
 		}
 		all = append(all, terms)
 	}
@@ -322,7 +329,7 @@
 	if len(f.Teams) == 0 {
 		return nil
 	}
-	rows := [][]string{{"TEAM", "POOL", "KNOWN BY", "BUDGET s/s", "BURST s", "BORROW s/s", "TYPE", "EFFECT", "PROMISED ms", "HARD STOP ms", "BENEFIT"}}
+	rows := [][]string{{"TEAM", "POOL", "KNOWN BY", "BUDGET s/s", "BURST s", "BORROW s/s", "TYPE", "EFFECT", "PROMISED ms", "HARD STOP ms", "BENEFIT", "ONLY"}}
 	for i, t := range f.Terms() {
 		var by []string
 		for _, route := range [][2]string{{"listen", t.Listen}, {"tenant", t.Tenant}, {"prefix", t.Prefix}} {
@@ -339,7 +346,7 @@
 			if k.Effect == "numbered" {
 				effect += fmt.Sprintf(" in %s, %v s", cmp.Or(k.Group, "all"), k.Window)
 			}
-			rows = append(rows, append(row, k.Name, effect, fmt.Sprint(k.PromisedMS), fmt.Sprint(k.HardStopMS), fmt.Sprint(k.Benefit)))
+			rows = append(rows, append(row, k.Name, effect, fmt.Sprint(k.PromisedMS), fmt.Sprint(k.HardStopMS), fmt.Sprint(k.Benefit), t.Types[j].Places()))
 		}
 	}
 	return rows
--- a/internal/operators/operators_test.go
+++ b/internal/operators/operators_test.go
@@ -97,6 +97,8 @@
 		pool + team("a", by+"weight = -1.0\n"+kind):                    "team.0.weight: -1 is below 0",
 		pool + team("a", by+"burst = -1.0\n"+kind):                     "team.0.burst: -1 is below 0",
 		pool + team("a", by+kind+"window = \"x\"\n"):                   "team.type.window: ",
+		pool + team("a", by+kind+"runs_in = []\n"):                     "team.0.type.0.runs_in: [] leaves it nowhere to run",
+		pool + team("a", by+kind+"allowed_on = [\"\"]\n"):              "team.0.type.0.allowed_on: [\"\"] leaves it nowhere to run",
 		pool + team("a", by+"[[team.type]]\nname = \"t\"\neffect = \"numbered\"\npromised_ms = 9\nhard_stop_ms = 5\nbenefit = 1\n"): "team.0.type.0.hard_stop_ms: 5 is before the promised time, 9",
 		pool + team("a", by+"[[team.type]]\nname = \"t\"\neffect = \"numbered\"\npromised_ms = 1\nhard_stop_ms = 5\nbenefit = 1\n"): "team.0.type.0.window: 0 is not above 0",
 		pool + team("a", by+"[[team.type]]\nname = \"t/u\"\neffect = \"any\"\ngroup = \"x\"\npromised_ms = 0\nbenefit = 0\n"):       `"any" is not one of reissuable, numbered, at-most-once`,
@@ -117,12 +119,13 @@
 
 // A contract is taken as it is written, with its defaults, and shown as a table.
 func TestContracts(t *testing.T) {
-	f, err := Read(file(t, pool+"most_executions = 2\nwarm = 7.0\n"+team("a", "tenant = \"a\"\nprefix = \"a:\"\nborrow = 0.5\n"+kind)))
+	f, err := Read(file(t, pool+"most_executions = 2\nwarm = 7.0\n"+team("a", "tenant = \"a\"\nprefix = \"a:\"\nborrow = 0.5\n"+kind+"allowed_on = [\"m2\"]\n")))
 	if err != nil {
 		t.Fatal(err)
 	}
 	terms := f.Terms()
-	if len(terms) != 1 || terms[0].Burst != 2 || terms[0].Borrow != 0.5 || terms[0].Types[0].HardStop != 0.5 || terms[0].Pool != "p" {
+	if len(terms) != 1 || terms[0].Burst != 2 || terms[0].Borrow != 0.5 || terms[0].Types[0].HardStop != 0.5 ||
+		terms[0].Types[0].Places() != "on m2" || terms[0].Pool != "p" {
 		t.Errorf("the terms are %+v", terms)
 	}
 	set := f.Pools[0].Settings(logic.Settings{MostExecutions: 5, WarmWithin: 9, TipMultiple: 4, Peers: true,
--- a/logic/host.go
+++ b/logic/host.go
@@ -1,5 +1,7 @@
 package logic
 
+import "strings"
+
 // Host is what the module acts through. Whoever runs an instance hands it one at start; ids are those of
 // the calls into the module. Times are seconds.
 type Host interface {
@@ -117,6 +119,18 @@
 	AllowedOn      []string // the kinds of machine to which alone it may be sent; nil: all
 }
 
+// Places words where alone a type may be sent, for people; empty if that is anywhere.
+func (t TrafficType) Places() string {
+	var all []string
+	if t.RunsIn != nil {
+		all = append(all, "in "+strings.Join(t.RunsIn, ", "))
+	}
+	if t.AllowedOn != nil {
+		all = append(all, "on "+strings.Join(t.AllowedOn, ", "))
+	}
+	return strings.Join(all, " ")
+}
+
 // Tenant holds the settings of one tenant.
 type Tenant struct {
 	Name  string
