--- a/internal/lab/judge.go
+++ b/internal/lab/judge.go
@@ -12,7 +12,7 @@
 
 // Breach is a rule that was not kept, or a crash.
 type Breach struct {
-	Rule     int // 1 to 4; 0: a router crashed
+	Rule     int // 1 to 5; 0: a router crashed
 	At       float64
 	What     string
 	ID       string   // of the try
@@ -126,6 +126,7 @@
 			j.answer(o, t)
 		}
 		j.twice(o, t)
+		j.placed(o, t)
 	}
 	said := slices.ContainsFunc(o.Tries, func(t *standin.Try) bool { return t.How == standin.Declined }) || len(o.Tries) == 1
 	if effects > 1 && o.Type.Effect == logic.AtMostOnce && said { // a client that came back unasked did it itself
@@ -212,6 +213,15 @@
 	}
 }
 
+// placed judges the fifth rule: every execution of a bound type is at a server that is open to it.
+func (j *judge) placed(o *standin.Op, t *standin.Try) {
+	for _, x := range j.by[t.ID] {
+		if !o.Type.Open(x.Server) {
+			j.breach(5, x.First, o, t.ID, "%s went to %s (%s, %s), which is not open to it", o.Type.Name, x.Server.Name, x.Server.Zone, x.Server.Machine)
+		}
+	}
+}
+
 func sameGroup(t *standin.TrafficType, a, b *standin.Server) bool {
 	switch t.Group {
 	case logic.Zone:
--- a/internal/lab/judge_test.go
+++ b/internal/lab/judge_test.go
@@ -138,6 +138,16 @@
 			st.try("x", standin.Finished, 1.05)
 			st.run("x", a, 1.01, standin.Answered)
 		}, nil},
+		"a bound type where it may run": {"bound", func(st *story) {
+			st.try("x", standin.Finished, 1.05)
+			st.run("x", a, 1.01, standin.TurnedAway)
+			st.run("x", b, 1.02, standin.Answered)
+		}, nil},
+		"a bound type's further try elsewhere": {"bound", func(st *story) {
+			st.try("x", standin.Finished, 1.05)
+			st.run("x", a, 1.01, standin.TurnedAway)
+			st.run("x", far, 1.02, standin.Answered)
+		}, []int{5}},
 		"a cold server pushed over": {"read", func(st *story) {
 			st.try("x", standin.NoConnection, 1.05)
 			st.rec.Fleet.Falls = []standin.Fall{{At: 1002, Server: a}}
--- a/internal/lab/play.go
+++ b/internal/lab/play.go
@@ -251,7 +251,7 @@
 	chance := fleet.Chance("spec/" + name)
 	speed := f.Speed[0] + (f.Speed[1]-f.Speed[0])*chance.Float64()
 	return standin.Spec{Name: name, Addr: w.address(serversAt+5*pool, n, 11300), Zone: fmt.Sprintf("zone-%d", n%f.Zones),
-		Machine: "stand-in", Cell: n / f.Zones / f.Cell, Cores: f.Cores, Speed: speed, Weight: float64(f.Cores), Queue: f.Queue,
+		Machine: f.Machines[n/f.Zones%len(f.Machines)], Cell: n / f.Zones / f.Cell, Cores: f.Cores, Speed: speed, Weight: float64(f.Cores), Queue: f.Queue,
 		PerConnection: f.PerConnection, Connections: f.Connections, Handshake: f.HandshakeMS / 1e3, Idle: f.Idle,
 		Keep: f.Keep, Cancels: f.Cancels, Cold: standin.Cold{From: f.ColdFrom, Warm: f.Warm, Multiple: w.s.Rules.Multiple,
 			Fall: w.s.Rules.Fall}}
@@ -264,7 +264,8 @@
 	for _, t := range s.types() {
 		types = append(types, map[string]any{"name": t.Name, "effect": wire[t.Effect],
 			"keyScope":    map[logic.Group]string{logic.All: "all", logic.Zone: "zone", logic.Cell: "cell"}[t.Group],
-			"dedupWindow": ns(t.Window), "promisedTime": ns(t.Promised), "hardStop": ns(t.HardStop), "benefit": t.Benefit})
+			"dedupWindow": ns(t.Window), "promisedTime": ns(t.Promised), "hardStop": ns(t.HardStop), "benefit": t.Benefit,
+			"runsIn": t.RunsIn, "allowedOn": t.AllowedOn}) // null where it is not bound
 	}
 	conf := map[string]any{
 		"name": fmt.Sprintf("n%d", n), "listen": routers[n], "discovery": agent.Addr(),
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -41,7 +41,8 @@
 type FleetPart struct {
 	Servers       int       `toml:"servers"`
 	Zones         int       `toml:"zones"`
-	Cell          int       `toml:"cell"` // servers of one cell
+	Cell          int       `toml:"cell"`     // servers of one cell
+	Machines      []string  `toml:"machines"` // kinds, given to the servers of a zone in turn
 	Cores         int       `toml:"cores"`
 	Speed         []float64 `toml:"speed"` // from, to
 	Queue         int       `toml:"queue"`
@@ -124,6 +125,9 @@
 	Benefit    float64 `toml:"benefit"`
 	Tenant     string  `toml:"tenant"`
 	Scheme     string  `toml:"scheme"` // xyz, wmts-kvp, wmts-rest: it is map tiles, of a team with a pool of tile servers
+
+	RunsIn    []string `toml:"runs_in"`    // zones, zone-0 and on, to which alone it may be sent (rule 5); left out: all
+	AllowedOn []string `toml:"allowed_on"` // kinds of machine, likewise
 }
 
 // BrokerPart says what the routers do with contracts.
@@ -169,7 +173,7 @@
 func Usual() Scenario {
 	return Scenario{
 		Seconds: 10, Settle: 1,
-		Fleet: FleetPart{Servers: 6, Zones: 2, Cell: 3, Cores: 1, Speed: []float64{1, 1}, Queue: 400, PerConnection: 100,
+		Fleet: FleetPart{Servers: 6, Zones: 2, Cell: 3, Machines: []string{"stand-in"}, Cores: 1, Speed: []float64{1, 1}, Queue: 400, PerConnection: 100,
 			Connections: 800, HandshakeMS: 0.5, Idle: 60, Keep: 400, Cancels: true, Filled: 0.2, ColdFrom: 0.35, Warm: 6},
 		Ledger:  LedgerPart{AtOnce: 16, TakesMS: 30, Multiple: 3, Within: 3, Halt: 3},
 		List:    ListPart{Delay: 0.3, Spread: 0.3, Within: 10},
@@ -235,6 +239,9 @@
 	if len(f.Speed) != 2 || !(f.Speed[0] > 0) || f.Speed[1] < f.Speed[0] {
 		s.file.Fault("fleet.speed", "%v is not a least and a largest speed above 0", f.Speed)
 	}
+	if len(f.Machines) == 0 || slices.Contains(f.Machines, "") {
+		s.file.Fault("fleet.machines", "%q does not name a kind for every server", f.Machines)
+	}
 	s.within("fleet.queue", float64(f.Queue), 0, 1e6)
 	s.within("fleet.per_connection", float64(f.PerConnection), 1, 1e4)
 	s.within("fleet.connections", float64(f.Connections), 1, 1e5)
@@ -294,6 +301,12 @@
 		if t.Scheme != "" && (t.Write || t.Effect != "reissuable") {
 			s.file.Fault(key("scheme"), "map tiles are read, and reissuable")
 		}
+		zones := []string{}
+		for z := range f.Zones {
+			zones = append(zones, fmt.Sprintf("zone-%d", z))
+		}
+		s.places(key("runs_in"), t.RunsIn, zones)
+		s.places(key("allowed_on"), t.AllowedOn, f.Machines)
 		if t.HardStopMS < t.PromisedMS {
 			s.file.Fault(key("hard_stop_ms"), "%v is below the promised time, %v", t.HardStopMS, t.PromisedMS)
 		}
@@ -308,6 +321,18 @@
 	return s, nil
 }
 
+// places tells of places that no server is in: what is bound to nothing but these could not be served on the best of days.
+func (s *Scenario) places(key string, named, there []string) {
+	if named != nil && len(named) == 0 {
+		s.file.Fault(key, "names nothing; leave it out where any will do")
+	}
+	for _, name := range named {
+		if !slices.Contains(there, name) {
+			s.file.Fault(key, "%q is none of %s", name, strings.Join(there, ", "))
+		}
+	}
+}
+
 func (s *Scenario) checkTeams() {
 	if !slices.Contains([]string{"", "load", "none"}, s.Broker.Budgets) {
 		s.file.Fault("broker.budgets", "%q is not load or none", s.Broker.Budgets)
@@ -518,7 +543,8 @@
 	for _, t := range s.Types {
 		all = append(all, &standin.TrafficType{Name: t.Name, Share: t.Share, Write: t.Write, Effect: effects[t.Effect],
 			Group: groups[t.Group], Window: t.Window, Work: t.WorkMS / 1e3, Spread: t.Spread, Size: t.Size,
-			Promised: t.PromisedMS / 1e3, HardStop: t.HardStopMS / 1e3, Benefit: t.Benefit, Tenant: t.Tenant, Scheme: tiles.Scheme(t.Scheme)})
+			Promised: t.PromisedMS / 1e3, HardStop: t.HardStopMS / 1e3, Benefit: t.Benefit, Tenant: t.Tenant, Scheme: tiles.Scheme(t.Scheme),
+			RunsIn: t.RunsIn, AllowedOn: t.AllowedOn})
 	}
 	return all
 }
--- a/internal/lab/teams.go
+++ b/internal/lab/teams.go
@@ -1,6 +1,7 @@
 package lab
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"maps"
@@ -51,6 +52,12 @@
 			if k.Tenant == t.Name {
 				fmt.Fprintf(&b, "[[team.type]]\nname = %q\neffect = %q\ngroup = %q\nwindow = %v\npromised_ms = %v\nhard_stop_ms = %v\nbenefit = %v\n",
 					k.Name, k.Effect, k.Group, k.Window, k.PromisedMS, k.HardStopMS, k.Benefit)
+				for key, places := range map[string][]string{"runs_in": k.RunsIn, "allowed_on": k.AllowedOn} {
+					if places != nil {
+						text, _ := json.Marshal(places) // a list of texts is written alike in TOML
+						fmt.Fprintf(&b, "%s = %s\n", key, text)
+					}
+				}
 			}
 		}
 	}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -6,6 +6,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 
 	"bendtrestle/internal/tiles"
 	"bendtrestle/logic"
@@ -27,6 +28,13 @@
 	Benefit  float64
 	Tenant   string
 	Scheme   tiles.Scheme // it is a tile, asked for so; else a key
+
+	RunsIn, AllowedOn []string // zones and kinds of machine to which alone it may be sent; nil: all
+}
+
+// Open tells whether a type may be sent to a server at all.
+func (t *TrafficType) Open(s *Server) bool {
+	return (t.RunsIn == nil || slices.Contains(t.RunsIn, s.Zone)) && (t.AllowedOn == nil || slices.Contains(t.AllowedOn, s.Machine))
 }
 
 // draw gives an operation's work: log-normal, so that it is never below 0 and its tail is long.
