Ask a full origin again only from the purse, and take no unnamed kind for the origin

Found by reading: `room` was free for whatever the origin turned away, so a full origin was asked up to the most executions by each operation, at once; only what a cache lacks is free now. And where the settings say aside and name no kind (originKind -1), every server without a kind was taken for the origin and no cache was left. Lines: further, isOrigin. Both fail a test without.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -758,7 +758,7 @@
 		s = r.origin(op)
 	}
 	// Where nearly all are full, each further try crowds them more: most of these come from the purse, too.
-	room := missed || e.harmless && (e.on.down || r.chance() < 2*r.taken)
+	room := how == NotStored || e.harmless && (e.on.down || r.chance() < 2*r.taken)
 	if s != nil && op.hardStop-r.now > r.expect(op, s) && (room || *op.purse >= 1) {
 		if !room {
 			*op.purse--
@@ -771,7 +771,9 @@
 	}
 }
 
-func (r *Router) isOrigin(s *server) bool { return r.set.Aside && s.Kind == r.set.OriginKind }
+func (r *Router) isOrigin(s *server) bool {
+	return r.set.Aside && s.Kind != "" && s.Kind == r.set.OriginKind
+}
 
 // origin picks the least busy server of the origin that bears one more, or none. It is slow, all share it, and
 // what is sent over its bound keeps it from answering at all.
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -177,11 +177,17 @@
 	r.bear(o, TurnedAway, 0.01, row)
 	expect(t, "bound after a refusal", math.Round(o.limit*100), 283.0)
 	flow, fails := r.flow, r.servers[1].fails
-	o.out = nil
+	o.out, r.taken, r.spare = nil, 0, 0
+	begun(r, "view", o, true, false)
+	r.Settled(1.1, 7, 0, TurnedAway, 0.01, false)
+	expect(t, "a full origin, nothing to pay from", did.last(), "decline 7 after true")
+	expect(t, "an unnamed kind", r.isOrigin(&server{}), false)
 	op = begun(r, "view", o, true, false)
 	r.learn(op.executions[0], Finished, 0.3)
 	expect(t, "what caches finish", r.flow, flow)
 	expect(t, "a cache's failures", r.servers[1].fails, fails)
+	r, _ = fleet(3, func(s *Settings) { s.Aside = true })
+	expect(t, "caches where no kind is named", len(r.ready), 3)
 }
 
 // Errors that follow some keys benched the servers these keys are nearest to, and shed the rest (prikbord-nl, big-2).
