--- a/logic/logic.go
+++ b/logic/logic.go
@@ -671,8 +671,8 @@
 	}
 }
 
-// blamed tells that an error follows the operation, not the server: another server answered it so, too, or those
-// with its keys were of late. Such errors bench nobody.
+// blamed tells that an error follows the operation, not the server: another server answered it so, too, or
+// those with its keys were so answered of late. Such errors bench nobody.
 func (r *Router) blamed(e *execution) bool {
 	faulty := &r.faulty[e.of.hash%slots]
 	for _, x := range e.of.executions {
@@ -775,8 +775,8 @@
 	return r.set.Aside && s.Kind != "" && s.Kind == r.set.OriginKind
 }
 
-// origin picks the least busy server of the origin that bears one more, or none. It is slow, all share it, and
-// what is sent over its bound keeps it from answering at all.
+// origin picks the least busy server of the origin that bears one more, or none. It is slow, all share it,
+// and what is sent over its bound keeps it from answering at all.
 func (r *Router) origin(op *operation) (best *server) {
 	for _, s := range r.origins {
 		room := float64(len(s.out)) < s.limit*math.Sqrt(op.worth)
