Name the line of a fault in a table within a table: it named its team's first line

Lines: find in internal/tomlfile kept team.type.0 where faults ask for team.0.type.0, so every fault of a traffic type named its team's line.

--- a/internal/operators/operators_test.go
+++ b/internal/operators/operators_test.go
@@ -97,7 +97,7 @@
 		pool + team("a", by+"weight = -1.0\n"+kind):                    "team.0.weight: -1 is below 0",
 		pool + team("a", by+"burst = -1.0\n"+kind):                     "team.0.burst: -1 is below 0",
 		pool + team("a", by+kind+"window = \"x\"\n"):                   "team.type.window: ",
-		pool + team("a", by+kind+"runs_in = []\n"):                     "team.0.type.0.runs_in: [] leaves it nowhere to run",
+		pool + team("a", by+kind+"runs_in = []\n"):                     ":17: team.0.type.0.runs_in: [] leaves it nowhere to run",
 		pool + team("a", by+kind+"allowed_on = [\"\"]\n"):              "team.0.type.0.allowed_on: [\"\"] leaves it nowhere to run",
 		pool + team("a", by+"[[team.type]]\nname = \"t\"\neffect = \"numbered\"\npromised_ms = 9\nhard_stop_ms = 5\nbenefit = 1\n"): "team.0.type.0.hard_stop_ms: 5 is before the promised time, 9",
 		pool + team("a", by+"[[team.type]]\nname = \"t\"\neffect = \"numbered\"\npromised_ms = 1\nhard_stop_ms = 5\nbenefit = 1\n"): "team.0.type.0.window: 0 is not above 0",
--- a/internal/tomlfile/tomlfile.go
+++ b/internal/tomlfile/tomlfile.go
@@ -70,6 +70,9 @@
 			if line == 0 {
 				line = p.Shape(keys.Node().Raw).Start.Line
 			}
+			if n := numbers[path]; n > 0 { // the last of the tables that this one stands in: team.type is team.1.type
+				path = join(path, strconv.Itoa(n-1))
+			}
 			path = join(path, string(keys.Node().Data))
 		}
 		switch e.Kind {
