--- a/internal/lab/scenario_test.go
+++ b/internal/lab/scenario_test.go
@@ -27,24 +27,22 @@
 func TestFaultsOfScenarios(t *testing.T) {
 	const head = "name = \"s\"\nseconds = 10\n"
 	for text, want := range map[string]string{
-		"[[fault]]\nkind = \"quake\"\nat = 1":                                                 `test.toml:4: fault.0.kind: "quake" is not a fault; there are contract, crash,`,
-		"[[fault]]\nkind = \"stall\"\ntarget = \"server:9\"\nat = 1\nfor = 1":                 `test.toml:5: fault.0.target: "server:9": "9" is not a number from 0 to 5`,
-		"[[fault]]\nkind = \"stall\"\ntarget = \"router:0\"\nat = 1\nfor = 1":                 `fault.0.target: "router:0" is not server:NUMBER`,
-		"[[fault]]\nkind = \"stall\"\ntarget = \"servers\"\nat = 11\nfor = 1":                 `test.toml:6: fault.0.at: 11 is past the end, 10`,
-		"[[fault]]\nkind = \"stall\"\ntarget = \"servers\"\nat = 9\nfor = 2":                  `test.toml:7: fault.0.for: it ends at 11, past the end, 10`,
-		"[[fault]]\nkind = \"stall\"\ntarget = \"servers\"\nat = 9":                           `fault.0.for: 0 is not above 0`,
-		"[[fault]]\nkind = \"slow\"\ntarget = \"servers\"\nat = 1\nfor = 1":                   `fault.0.factor: 0 is not above 0 and between 1 and 1000`,
-		"[[fault]]\nkind = \"stall\"\ntarget = \"servers\"\nat = 1\nfor = 1\nfactor = 2.0":    `fault.0.factor: stall has none`,
-		"[[fault]]\nkind = \"surge\"\ntarget = \"type:other\"\nat = 1\nfor = 1\nfactor = 2.0": `"type:other": there is no such type`,
-		"[[fault]]\nkind = \"router-kill\"\ntarget = \"routers:101%\"\nat = 1\nfor = 1":       `is not a number from 1 to 100`,
-		"[[fault]]\nkind = \"hot-key\"\ntarget = \"server:1\"\nat = 1\nfor = 1\npart = 0.5":   `"server:1": this fault has none`,
-		"[fleet]\nservers = 0\nspeed = [2.0, 1.0]":                                            `test.toml:4: fleet.servers: 0 is not between 1 and 400`,
-		"[fleet]\nspeed = [2.0, 1.0]":                                                         `fleet.speed: [2 1] is not a least and a largest speed above 0`,
-		"[fleet]\nserver = 3":                                                                 `test.toml:4: fleet.server: unknown key`,
-		"[clients]\nconnections = \"some\"":                                                   `clients.connections: "some" is not kept, new or once`,
-		"[fleet]\nmachines = []":                                                              `fleet.machines: [] does not name a kind for every server`,
-		"[[type]]\nname = \"a\"\nshare = 1\neffect = \"reissuable\"\nwork_ms = 1\npromised_ms = 5\nhard_stop_ms = 5\nbenefit = 1\nruns_in = [\"zone-7\"]": `type.0.runs_in: "zone-7" is none of zone-0, zone-1`,
-		"[routers]\nskew = [1.0]": `routers.skew: 1 weights for 2 routers`,
+		"[[fault]]\nkind = \"quake\"\nat = 1":                                                                                   `test.toml:4: fault.0.kind: "quake" is not a fault; there are contract, crash,`,
+		"[[fault]]\nkind = \"stall\"\ntarget = \"server:9\"\nat = 1\nfor = 1":                                                   `test.toml:5: fault.0.target: "server:9": "9" is not a number from 0 to 5`,
+		"[[fault]]\nkind = \"stall\"\ntarget = \"router:0\"\nat = 1\nfor = 1":                                                   `fault.0.target: "router:0" is not server:NUMBER`,
+		"[[fault]]\nkind = \"stall\"\ntarget = \"servers\"\nat = 11\nfor = 1":                                                   `test.toml:6: fault.0.at: 11 is past the end, 10`,
+		"[[fault]]\nkind = \"stall\"\ntarget = \"servers\"\nat = 9\nfor = 2":                                                    `test.toml:7: fault.0.for: it ends at 11, past the end, 10`,
+		"[[fault]]\nkind = \"stall\"\ntarget = \"servers\"\nat = 9":                                                             `fault.0.for: 0 is not above 0`,
+		"[[fault]]\nkind = \"slow\"\ntarget = \"servers\"\nat = 1\nfor = 1":                                                     `fault.0.factor: 0 is not above 0 and between 1 and 1000`,
+		"[[fault]]\nkind = \"stall\"\ntarget = \"servers\"\nat = 1\nfor = 1\nfactor = 2.0":                                      `fault.0.factor: stall has none`,
+		"[[fault]]\nkind = \"surge\"\ntarget = \"type:other\"\nat = 1\nfor = 1\nfactor = 2.0":                                   `"type:other": there is no such type`,
+		"[[fault]]\nkind = \"router-kill\"\ntarget = \"routers:101%\"\nat = 1\nfor = 1":                                         `is not a number from 1 to 100`,
+		"[[fault]]\nkind = \"hot-key\"\ntarget = \"server:1\"\nat = 1\nfor = 1\npart = 0.5":                                     `"server:1": this fault has none`,
+		"[fleet]\nservers = 0\nspeed = [2.0, 1.0]":                                                                              `test.toml:4: fleet.servers: 0 is not between 1 and 400`,
+		"[fleet]\nspeed = [2.0, 1.0]":                                                                                           `fleet.speed: [2 1] is not a least and a largest speed above 0`,
+		"[fleet]\nserver = 3":                                                                                                   `test.toml:4: fleet.server: unknown key`,
+		"[clients]\nconnections = \"some\"":                                                                                     `clients.connections: "some" is not kept, new or once`,
+		"[routers]\nskew = [1.0]":                                                                                               `routers.skew: 1 weights for 2 routers`,
 		"[[type]]\nname = \"read\"\nshare = 1\neffect = \"maybe\"\nwork_ms = 1\npromised_ms = 9":                                `type.0.effect: "maybe" is not reissuable, numbered or at-most-once`,
 		"[[type]]\nname = \"a\"\nshare = 1\neffect = \"numbered\"\nwork_ms = 1\npromised_ms = 9\nhard_stop_ms = 5\nbenefit = 1": `type.0.hard_stop_ms: 5 is below the promised time, 9`,
 	} {
@@ -53,6 +51,13 @@
 			t.Errorf("%q:\ngot %v\nwant %s", text, err, want)
 		}
 	}
+	bound := "[[type]]\nname = \"a\"\nshare = 1\neffect = \"reissuable\"\nwork_ms = 1\npromised_ms = 5\nhard_stop_ms = 5\nbenefit = 1\nruns_in = [\"zone-7\"]"
+	_, err := ParseScenario("test.toml", head+"[fleet]\nmachines = []\n"+bound)
+	for _, want := range []string{"fleet.machines: [] does not name", `:13: type.0.runs_in: "zone-7" is none of zone-0, zone-1`} {
+		if err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("places that are not there: got %v, want %s", err, want)
+		}
+	}
 	if _, err := ParseScenario("test.toml", head); err == nil || !strings.Contains(err.Error(), "type: none") {
 		t.Errorf("without traffic types: %v", err)
 	}
