--- a/internal/settings/lines_test.go
+++ b/internal/settings/lines_test.go
@@ -1,6 +1,9 @@
 package settings
 
-import "testing"
+import (
+	"fmt"
+	"testing"
+)
 
 func TestLines(t *testing.T) {
 	at := Lines([]byte("{\n \"a\": 1,\n \"b\": {\"c\":\n [1,\n {\"d\": null}]},\n \"e\": \"x\ny"))
@@ -38,3 +41,13 @@
 		t.Errorf("%d are kept", len(o.Faults()))
 	}
 }
+
+// What letter 7 added is read, and the origin's kind by its place among the kinds.
+func TestSettingsOfPlacementAndOrigin(t *testing.T) {
+	o, _ := Parse([]byte(`{"kinds":["a","origin"],"familyInfo":{"mode":"aside","originKind":1},"rules":{"bootStampError":2000000000},
+		"trafficTypes":[{"name":"t","runsIn":["z"],"allowedOn":["a"]},{"name":"u"}]}`), "x")
+	set := o.Settings()
+	if got := fmt.Sprintf("%v %v %v %s/%s", set.Aside, set.OriginKind, set.StampError, set.TrafficTypes[0].Places(), set.TrafficTypes[1].Places()); got != "true origin 2 in z on a/" || o.Err() != nil {
+		t.Errorf("read as %q, %v", got, o.Err())
+	}
+}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -153,6 +153,7 @@
 	expect(t, "the origin among the caches", len(r.ready), 3)
 	begun(r, "pay", r.servers[1], true, false)
 	r.rows["pay"].RunsIn = []string{"a"} // placement is of caches: every type may use the origin
+	r.taken = 0                          // nor is a miss paid for
 	r.Settled(0.01, 7, 0, NotStored, 0.01, false)
 	expect(t, "a miss", did.last(), "execute 7 on 99")
 	r.Settled(0.02, 7, 1, Error, 0.01, false)
@@ -176,7 +177,7 @@
 	expect(t, "beyond its share", r.origin(op) != nil, false)
 	r.bear(o, TurnedAway, 0.01, row)
 	expect(t, "bound after a refusal", math.Round(o.limit*100), 283.0)
-	flow, fails := r.flow, r.servers[1].fails
+	flow, fails, lag := r.flow, r.servers[1].fails, row.lag
 	o.out, r.taken, r.spare = nil, 0, 0
 	begun(r, "view", o, true, false)
 	r.Settled(1.1, 7, 0, TurnedAway, 0.01, false)
@@ -186,6 +187,7 @@
 	r.learn(op.executions[0], Finished, 0.3)
 	expect(t, "what caches finish", r.flow, flow)
 	expect(t, "a cache's failures", r.servers[1].fails, fails)
+	expect(t, "the usual time at a cache", row.lag, lag)
 	r, _ = fleet(3, func(s *Settings) { s.Aside = true })
 	expect(t, "caches where no kind is named", len(r.ready), 3)
 }
@@ -202,8 +204,11 @@
 		expect(t, "final answer", did.last(), fmt.Sprintf("decline %d after true", id))
 	}
 	for _, s := range r.ready {
-		expect(t, fmt.Sprint("passed over: ", s.ID), s.fails >= 3, false)
+		expect(t, fmt.Sprint("failures of ", s.ID), s.fails, 0)
 	}
+	r.faulty[0] = 5
+	r.learn(begun(r, "view", r.servers[1], true, false).executions[0], Finished, 0.01)
+	expect(t, "held against a slot where something finished", r.faulty[0], 0.0)
 	r.lost, r.won = 30, 8
 	for id := range uint64(400) {
 		r.Arrived(2, 100+id, "view", "", "faulty", 1)
