Leave and return to a zone as one: decide/zones, words, door, and the module's share

Nothing knew a zone as one thing: each router found out each silent server by itself, at a client's whole try each. internal/decide/zones sums up what all routers tell of a zone (who has had no answer since when, who has had one later) and comes to one verdict; words of eight bytes a zone, every third byte of a message, so that builds before take them for nothing (Told in logic.go reads three bytes as a server's id and a time; the two before each byte end no id that is listed). The module is told a share (Zoned) and moves the same keys at every router; what is out in a zone that is left and may be sent again is withdrawn, what waits for a connection there is given back as never sent. Regions return zone by zone. By hand at the door, kept in a file. Off unless the operators' file says [zones] on = true.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -13,6 +14,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"text/tabwriter"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -34,11 +36,30 @@
 	Enable(id string) error
 	Drain() error
 	Undrain() error
+	Zones() ([]Zone, error)
+	LeaveZone(zone string) error
+	ReturnZone(zone string) error
+}
+
+// Zone is what the door shows of one zone.
+type Zone struct {
+	Zone    string  `json:"zone"`
+	State   string  `json:"state"`
+	Share   float64 `json:"share"`   // of its keys that it serves
+	For     float64 `json:"for_s"`   // seconds in this state
+	Hand    bool    `json:"by_hand"` // left by hand
+	Servers int     `json:"servers"`
+	Against int     `json:"routers_without_answer"`
+	With    int     `json:"routers_with_later_answer"`
+	Known   int     `json:"routers_heard"`
+	Times   int     `json:"left_of_late"`
+	Why     string  `json:"why"`
 }
 
 // Why a call is not carried out.
 var (
 	ErrUnknown = errors.New("no cache server is known by this id")
+	ErrNoZone  = errors.New("no zone is known by this name, or it is not left")
 	ErrNotNow  = errors.New("the router does not come to it now; nothing was done")
 )
 
@@ -194,24 +215,52 @@
 		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 		w.Write(r.Figures())
 	})
-	m.HandleFunc("POST /cache-servers/disable", about(r.Disable))
-	m.HandleFunc("POST /cache-servers/enable", about(r.Enable))
+	m.HandleFunc("POST /cache-servers/disable", about("id of a cache server", r.Disable))
+	m.HandleFunc("POST /cache-servers/enable", about("id of a cache server", r.Enable))
+	m.HandleFunc("GET /zones", zones(r))
+	m.HandleFunc("POST /zones/leave", about("name of a zone", r.LeaveZone))
+	m.HandleFunc("POST /zones/return", about("name of a zone", r.ReturnZone))
 	m.HandleFunc("POST /drain", plain(r.Drain))
 	m.HandleFunc("POST /undrain", plain(r.Undrain))
 	return m
 }
 
-// about serves a call with a cache server's id as its body.
-func about(act func(id string) error) http.HandlerFunc {
+// zones shows all zones: a table for people, or JSON to who asks for it.
+func zones(r Router) http.HandlerFunc {
+	return func(w http.ResponseWriter, q *http.Request) {
+		came(q)
+		all, err := r.Zones()
+		if err != nil {
+			answer(w, err)
+			return
+		}
+		if strings.Contains(q.Header.Get("Accept"), "application/json") {
+			w.Header().Set("Content-Type", "application/json")
+			json.NewEncoder(w).Encode(all)
+			return
+		}
+		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+		fmt.Fprintln(t, "ZONE\tSTATE\tSHARE\tFOR\tSERVERS\tWITHOUT ANSWER\tWITH LATER\tHEARD\tLEFT OF LATE\tWHY")
+		for _, z := range all {
+			fmt.Fprintf(t, "%s\t%s\t%.3f\t%.1f s\t%d\t%d\t%d\t%d\t%d\t%s\n", z.Zone, z.State, z.Share, z.For, z.Servers, z.Against, z.With,
+				z.Known, z.Times, z.Why)
+		}
+		t.Flush()
+	}
+}
+
+// about serves a call whose body names something.
+func about(what string, act func(name string) error) http.HandlerFunc {
 	return func(w http.ResponseWriter, q *http.Request) {
 		body, err := io.ReadAll(http.MaxBytesReader(w, q.Body, bodyBound))
 		came(q)
 		id := strings.TrimSpace(string(body))
 		switch {
 		case err != nil || len(id) > longID:
-			say(w, http.StatusBadRequest, "the body is too long for the id of a cache server, or did not come")
+			say(w, http.StatusBadRequest, "the body is too long for the "+what+", or did not come")
 		case id == "" || strings.ContainsFunc(id, func(c rune) bool { return c <= ' ' || c == 0x7f || c == 0xfffd }):
-			say(w, http.StatusBadRequest, "the body is to be the id of a cache server, as the list has it")
+			say(w, http.StatusBadRequest, "the body is to be the "+what+", as the list has it")
 		default:
 			answer(w, act(id))
 		}
@@ -230,7 +279,7 @@
 	switch {
 	case err == nil:
 		say(w, http.StatusOK, "done")
-	case errors.Is(err, ErrUnknown):
+	case errors.Is(err, ErrUnknown), errors.Is(err, ErrNoZone):
 		say(w, http.StatusNotFound, err.Error())
 	default:
 		say(w, http.StatusServiceUnavailable, err.Error())
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -15,6 +15,12 @@
 // routed is a router that gives the same answer to every call that acts.
 type routed struct{ err error }
 
+func (r routed) Zones() ([]Zone, error) {
+	return []Zone{{Zone: "a", State: "left", Why: "by hand"}}, r.err
+}
+func (r routed) LeaveZone(zone string) error  { return r.err }
+func (r routed) ReturnZone(zone string) error { return r.err }
+
 func (r routed) Ready() bool          { return r.err == nil }
 func (r routed) Figures() []byte      { return []byte("gw.current=1\n") }
 func (r routed) Disable(string) error { return r.err }
--- /dev/null
+++ b/internal/decide/zones/words.go
@@ -0,0 +1,224 @@
+package zones
+
+import (
+	"encoding/binary"
+	"hash/crc32"
+	"math"
+	"slices"
+)
+
+// A message of 256 bytes at most holds what a router has seen of up to eight zones. Builds that do not know it take each three
+// bytes of a message for the end of a server's id and a time, so every third byte alone says something here, and the two
+// before it are the end of no server's id.
+const (
+	group   = 3
+	plain   = 12 // bytes before the zones: kind, router, life, number, flags, how many
+	entry   = 8  // sum of the name, state, share, ages of the last answer and of the first execution without, how the last step went
+	perWord = (256/group - plain - 2) / entry
+	kind    = 0x5a
+	ageStep = 0.02 // seconds; 254 steps are 5 s, beyond which an age makes no difference
+)
+
+var markers = [...][2]byte{{0xc7, 0xff}, {0x5a, 0xfe}, {0xb1, 0xfd}, {0x3e, 0xfc}}
+
+// peer is what another router said last.
+type peer struct {
+	life   uint16
+	number uint32
+	at     float64
+	cut    bool // it says that it is cut off itself
+	said   map[uint32]saying
+	before []uint16 // lives that are over: their words may still come
+	spoke  float64  // when this router last answered that it is new
+}
+
+type saying struct {
+	state   State
+	share   float64
+	ok, bad float64 // by this router's clock
+	hand    bool
+	good    int // executions of the last step, up to 15, and those of them that tell of strain
+	poor    int
+}
+
+// period is the time between two words without news: each router hears a hundred a second at most.
+func (f *Fleet) period() float64 { return max(0.5, float64(f.set.Routers)/100) }
+
+// stale is when what a router said is forgotten: it lost three messages, or has gone.
+func (f *Fleet) stale() float64 { return 3.5 * f.period() }
+
+const pause = 0.04 // seconds between two words with news: what happens in one tick is told together
+
+// Say gives the words to be sent now; nil: there are none.
+func (f *Fleet) Say(now float64) (all [][]byte) {
+	if f.set.Routers < 2 || len(f.zones) == 0 {
+		return nil
+	}
+	passed := now - f.told
+	if passed < f.period() {
+		if passed < pause || f.purse < 1 || !f.urgent(now) {
+			return nil
+		}
+		f.purse--
+	}
+	f.told, f.news, f.met = now, max(0, f.news-1), false
+	var zones []*zone
+	for _, z := range f.zones {
+		z.fresh = false
+		zones = append(zones, z)
+	}
+	slices.SortFunc(zones, byAge)
+	for len(zones) > 0 {
+		n := min(len(zones), perWord)
+		all = append(all, f.words(now, zones[:n]))
+		zones = zones[n:]
+	}
+	f.Words += uint64(len(all))
+	return all
+}
+
+// urgent tells whether others have to know something now: of this router's own, or against what they say.
+func (f *Fleet) urgent(now float64) bool {
+	if f.news > 0 || f.met {
+		return true
+	}
+	for _, z := range f.zones {
+		if z.fresh && z.state != Left {
+			return true
+		}
+		if z.ok <= f.told { // what it had before, others know
+			continue
+		}
+		for _, p := range f.peers {
+			// Someone misses answers there and this router has had one since, or someone tries it: all wait to hear of it.
+			if s := p.said[z.sum]; now-p.at <= f.stale() && s.bad > 0 && z.ok > s.bad && now-f.told > 2*pause {
+				return true
+			}
+		}
+		if z.state == Tried || z.state == Left {
+			return true
+		}
+	}
+	return false
+}
+
+func age(now, at float64) byte {
+	if at == 0 {
+		return 255
+	}
+	return byte(min(254, max(0, math.Round((now-at)/ageStep))))
+}
+
+// when is the time that an age tells; 0: never.
+func when(now float64, age byte) float64 {
+	if age == 255 {
+		return 0
+	}
+	return now - float64(age)*ageStep
+}
+
+func (f *Fleet) words(now float64, zones []*zone) []byte {
+	f.number++
+	b := binary.LittleEndian.AppendUint16([]byte{kind}, uint16(f.set.Me))
+	b = binary.LittleEndian.AppendUint16(b, f.set.Life)
+	b = binary.LittleEndian.AppendUint32(b, f.number)
+	flags := byte(0)
+	if f.cut(now) {
+		flags = 1
+	}
+	b = append(b, flags, byte(len(zones)), 0)
+	for _, z := range zones {
+		state := byte(z.state)
+		if z.hand {
+			state |= 0x80
+		}
+		b = append(b, byte(z.sum), byte(z.sum>>8), byte(z.sum>>16), state, byte(math.Round(z.share*128)), age(now, z.ok), age(now, z.bad),
+			byte(min(15, z.before[0])|min(15, z.before[1])<<4))
+	}
+	b = binary.LittleEndian.AppendUint16(b, uint16(crc32.ChecksumIEEE(b)))
+	var words []byte
+	for _, x := range b {
+		words = append(words, f.marker[0], f.marker[1], x)
+	}
+	return words
+}
+
+// mark picks two bytes that end no server's id.
+func (f *Fleet) mark(ids map[uint16]bool) {
+	for _, m := range markers {
+		if !ids[binary.LittleEndian.Uint16(m[:])] {
+			f.marker = m
+			return
+		}
+	}
+}
+
+// unpack gives what a message says, or nil where it is no such message or was damaged.
+func unpack(words []byte) []byte {
+	if len(words)%group != 0 || len(words) < group*(plain+2) || !slices.Contains(markers[:], [2]byte(words[:2])) {
+		return nil
+	}
+	var b []byte
+	for i := 0; i < len(words); i += group {
+		if words[i] != words[0] || words[i+1] != words[1] {
+			return nil
+		}
+		b = append(b, words[i+2])
+	}
+	end := len(b) - 2
+	if b[0] != kind || binary.LittleEndian.Uint16(b[end:]) != uint16(crc32.ChecksumIEEE(b[:end])) || end != plain+int(b[10])*entry {
+		return nil
+	}
+	return b[:end]
+}
+
+const mostLives = 8 // former lives remembered of each router: it restarts less often than words are late
+
+// Heard takes another router's words; false if they are not of zones.
+func (f *Fleet) Heard(now float64, words []byte) bool {
+	b := unpack(words)
+	if b == nil {
+		return false
+	}
+	from, life, number := int(binary.LittleEndian.Uint16(b[1:])), binary.LittleEndian.Uint16(b[3:]), binary.LittleEndian.Uint32(b[5:])
+	if f.wake(now); from == f.set.Me || from >= f.set.Routers || now < f.deaf {
+		return true
+	}
+	p := f.peers[from]
+	switch {
+	case p == nil:
+		p = &peer{life: life}
+		f.peers[from] = p
+		f.meet(now, p)
+	case slices.Contains(p.before, life) || p.life == life && int32(number-p.number) <= 0:
+		return true // late, or twice
+	case p.life != life: // another process: what the one before saw counts no more
+		p.before = append(p.before, p.life)
+		p.before = p.before[max(0, len(p.before)-mostLives):]
+		p.life, p.said = life, nil
+		f.meet(now, p)
+	}
+	if p.said == nil {
+		p.said = map[uint32]saying{}
+	}
+	if now-p.at > f.stale() {
+		clear(p.said)
+		f.meet(now, p)
+	}
+	p.number, p.at, p.cut = number, now, b[9] == 1
+	for e := b[plain:]; len(e) >= entry; e = e[entry:] {
+		sum := uint32(e[0]) | uint32(e[1])<<8 | uint32(e[2])<<16
+		if state := State(e[3] & 0x7f); state <= Returning && (f.zones[sum] != nil || len(p.said) < mostZones) {
+			p.said[sum] = saying{state: state, share: min(float64(e[4])/128, 1), ok: when(now, e[5]), bad: when(now, e[6]), hand: e[3]&0x80 != 0,
+				good: int(e[7] & 15), poor: int(e[7] >> 4)}
+		}
+	}
+	return true
+}
+
+// meet has words sent soon, for one that is new may know nothing; not for each that comes back at once.
+func (f *Fleet) meet(now float64, p *peer) {
+	if now-p.spoke > f.period()/2 {
+		p.spoke, f.met = now, true
+	}
+}
--- a/internal/lab/baseline/baseline.go
+++ b/internal/lab/baseline/baseline.go
@@ -314,6 +314,9 @@
 // Barred is not for baselines.
 func (m *Module) Barred(float64, uint64, bool) {}
 
+// Zoned is not for baselines.
+func (m *Module) Zoned(float64, string, float64) {}
+
 // Avoids tells whether a server gets nothing by its mode: baselines avoid none for its failures.
 func (m *Module) Avoids(id uint64) bool {
 	s := m.servers[id]
--- a/internal/operators/operators.go
+++ b/internal/operators/operators.go
@@ -17,6 +17,9 @@
 	Pools  []Pool `toml:"pool"`
 	Teams  []Team `toml:"team"`
 
+	Zones   Zones    `toml:"zones"`
+	Regions []Region `toml:"region"`
+
 	path string
 	from *tomlfile.File
 }
@@ -60,6 +63,7 @@
 	oneOf("log.level", f.Log.Level, levels)
 	oneOf("log.form", f.Log.Form, forms)
 	f.checkContracts()
+	f.checkRegions()
 }
 
 // Setting is one value in effect and where it comes from.
@@ -77,6 +81,10 @@
 		{"log.level", f.Log.Level, from("log.level")},
 		{"log.form", f.Log.Form, from("log.form")},
 		{"broker.others", f.Broker.Others, from("broker.others")},
+		{"zones.on", fmt.Sprint(f.Zones.On), from("zones.on")},
+	}
+	for i, r := range f.Regions {
+		all = append(all, Setting{"region " + r.Name, strings.Join(r.Zones, ", ") + ", returning in this order", from(fmt.Sprintf("region.%d", i))})
 	}
 	for i, p := range f.Pools {
 		capacity := "not stated"
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -120,6 +120,13 @@
 	Tell   func(words []byte)
 	Watch  func(on bool)
 	Log    zerolog.Logger
+	Zones  Zones // nil: nobody wants to know
+}
+
+// Zones is told how executions go in the zones that the list names.
+type Zones interface {
+	Began(zone string, within float64) (mark uint64) // within is the time promised for the operation
+	Ended(zone string, mark uint64, how logic.Outcome, took, within float64)
 }
 
 // Module makes the decisions. The product's is logic.Router; a laboratory may put another in its place, to see what
@@ -134,6 +141,7 @@
 	Wake(now float64, name string)
 	Offer(types []logic.TrafficType)
 	Barred(now float64, server uint64, out bool)
+	Zoned(now float64, zone string, share float64)
 	Avoids(server uint64) bool
 }
 
@@ -149,6 +157,8 @@
 	module Module
 	ops    map[uint64]*operation
 	last   uint64
+	zones  map[uint64]string  // of servers, while somebody wants to know
+	times  map[string]float64 // promised, by traffic type
 	Counts Counts
 }
 
@@ -172,15 +182,25 @@
 	n       int
 	began   float64
 	pending Pending
+	zone    string
+	mark    uint64 // by which its zone's watcher knows it; 0: it does not
 }
 
 // New starts the module that decides.
 func New(set logic.Settings, out Outside, module Maker) *Router {
-	r := &Router{Outside: out, ops: map[uint64]*operation{}}
+	r := &Router{Outside: out, ops: map[uint64]*operation{}, zones: map[uint64]string{}}
+	r.promise(set.TrafficTypes)
 	r.module = module(out.Clock.Now(), set, r)
 	return r
 }
 
+func (r *Router) promise(types []logic.TrafficType) {
+	r.times = map[string]float64{}
+	for _, t := range types {
+		r.times[t.Name] = t.PromisedTime
+	}
+}
+
 // Open is how many operations have no final answer or have executions out.
 func (r *Router) Open() int { return len(r.ops) }
 
@@ -209,6 +229,14 @@
 
 // Listed takes an update of the list.
 func (r *Router) Listed(kind logic.ListKind, members []logic.Member) {
+	if kind == logic.Snapshot || kind == logic.Disk {
+		clear(r.zones)
+	}
+	for _, m := range members {
+		if r.zones[m.ID] = m.Zone; m.Mode == logic.Gone || m.Zone == "" {
+			delete(r.zones, m.ID)
+		}
+	}
 	r.guard(nil, func() { r.module.Listed(r.Clock.Now(), kind, members) })
 }
 
@@ -217,6 +245,11 @@
 	r.guard(nil, func() { r.module.Barred(r.Clock.Now(), server, out) })
 }
 
+// Zoned takes the part of its keys that a zone serves from now on.
+func (r *Router) Zoned(zone string, share float64) {
+	r.guard(nil, func() { r.module.Zoned(r.Clock.Now(), zone, share) })
+}
+
 // Avoids tells whether the module sends a server nothing new now.
 func (r *Router) Avoids(server uint64) (avoided bool) {
 	r.guard(nil, func() { avoided = r.module.Avoids(server) })
@@ -225,6 +258,7 @@
 
 // Offer takes the traffic types that operations may have from now on.
 func (r *Router) Offer(types []logic.TrafficType) {
+	r.promise(types)
 	r.guard(nil, func() { r.module.Offer(types) })
 }
 
@@ -238,6 +272,9 @@
 	o, r, now := x.of, x.of.r, x.of.r.Clock.Now()
 	o.out--
 	x.pending = nil
+	if x.mark > 0 {
+		r.Zones.Ended(x.zone, x.mark, how, now-x.began, r.times[o.Kind])
+	}
 	final := how == logic.Finished && o.client != nil
 	if final {
 		r.Counts.Finished++
@@ -313,6 +350,9 @@
 		return
 	}
 	r.Counts.Executions++
+	if x.zone = r.zones[server]; r.Zones != nil && x.zone != "" {
+		x.mark = r.Zones.Began(x.zone, r.times[o.Kind])
+	}
 	x.pending = r.Caches.Execute(server, o.Operation, limit, x)
 }
 
--- a/internal/service/contracts.go
+++ b/internal/service/contracts.go
@@ -48,6 +48,7 @@
 			for id := range s.out {
 				p.bar(discovery.ID(id), true)
 			}
+			s.zones.apply(p)
 		}
 		p.fleet.Limit(connections)
 		p.follow(f.Discovery)
--- a/internal/service/desk.go
+++ b/internal/service/desk.go
@@ -127,6 +127,7 @@
 	say("cluster_unhealthy", uint64(avoided))
 	say("conf_loaded", s.loaded)
 	say("conf_invalid", s.invalid)
+	s.zones.figures(say)
 	return []byte(all.String())
 }
 
--- a/internal/service/pool.go
+++ b/internal/service/pool.go
@@ -54,7 +54,11 @@
 	p.fleet = caches.New(s.loop, caches.Limits{Connections: connections, PerConnection: piped(set, streams), ConnectTimeout: connect,
 		Stall: stall, Idle: idle}, wire, p.log)
 	watch := func(on bool) {} // the list is watched in any case
-	p.router = router.New(set, router.Outside{Clock: s.loop, Caches: p.fleet, Tell: s.peers.Tell, Watch: watch, Log: p.log}, s.module)
+	out := router.Outside{Clock: s.loop, Caches: p.fleet, Tell: s.peers.Tell, Watch: watch, Log: p.log}
+	if s.zones != nil {
+		out.Zones = s.zones
+	}
+	p.router = router.New(set, out, s.module)
 	return p
 }
 
@@ -152,6 +156,7 @@
 		members = append(members, e.Member)
 	}
 	p.router.Listed(kind, members)
+	p.s.zones.listed()
 	maps.DeleteFunc(p.listed, func(id uint64, in bool) bool {
 		if !in {
 			p.fleet.Unlisted(id)
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -55,6 +55,7 @@
 // Service is one router process.
 type Service struct {
 	phase     Phase
+	began     float64
 	conf      config.Config
 	log       zerolog.Logger
 	loop      *sock.Loop
@@ -74,6 +75,7 @@
 	invalid   uint64 // that were not
 	sent      uint64 // executions written to servers of pools that are gone
 	bans      *handover.Bans
+	zones     *zoneWatch            // nil: zones are not left as one
 	out       map[string]bool       // cache servers that operators took out
 	before    *handover.Predecessor // the process before this one, while it runs
 	inherited map[string]int        // its listening sockets that are not in use here yet
@@ -144,6 +146,7 @@
 	s.log.Info().Str("discovery", conf.Discovery).Msg("configured anew")
 	s.platform.follow(conf.Discovery)
 	s.contract(set)
+	s.zones.reconfigure(set.Operators)
 }
 
 // assemble puts the parts together, from the caches to the clients.
@@ -155,18 +158,20 @@
 	conf := set.Platform
 	s, c := &Service{conf: conf, operators: set.Operators, log: log, loop: loop, module: module, loaded: 1, pools: map[string]*pool{},
 		listeners: map[string]*sock.Listener{}, tiles: map[string]*tilefront.Server{}, out: map[string]bool{}, seen: map[string]uint64{}}, &conf
+	s.began = loop.Now()
 	s.log.Info().Str("name", c.Name).Str("listen", c.Listen).Int("clients", c.Clients).Int("caches", c.Caches).
 		Int("open", c.Open).Msg("starting")
 	if c.Reports.How != "off" {
 		s.log.Info().Stringer("loadInfo", c.Reports).Msg("reports of load are not to be had on this protocol: own counts and the list's weights decide")
 	}
-	if (c.Settings.Peers || len(set.Operators.Teams) > 0) && c.PeerListen != "" {
+	if (c.Settings.Peers || len(set.Operators.Teams) > 0 || set.Operators.Zones.On) && c.PeerListen != "" {
 		heard := func(words []byte) { s.loop.Post(func() { s.heard(words) }) }
 		s.peers, err = peers.Open(c.PeerListen, c.PeersAll, c.Peers, c.Settings.Me, heard, s.log)
 		if err != nil { // they are a help, nothing depends on them
 			s.log.Warn().Err(err).Msg("no peers")
 		}
 	}
+	s.openZones(set.Operators)
 	c.Settings.Ordered = false // answers come in the order of a connection, but each execution has one of its own
 	c.Settings.Apart = len(set.Operators.Teams) > 0
 	s.platform = s.newPool("", c.Settings, c.Caches, c.ConnectTimeout, stall(c.ConnectTimeout), c.ConnIdle, c.PerConnection, caches.Memcache)
@@ -181,6 +186,7 @@
 	s.platform.hear(logic.Disk, s.conf.Known)
 	s.platform.follow(c.Discovery)
 	s.contract(set)
+	s.zones.begin()
 	s.loop.After(counting, s.count)
 	if c.Ops != "" {
 		s.desk = &desk{s: s}
@@ -196,7 +202,7 @@
 
 // heard takes a peer's words: about contracts, or the module's.
 func (s *Service) heard(words []byte) {
-	if !s.broker.Heard(words) && s.conf.Settings.Peers {
+	if !s.zones.heard(words) && !s.broker.Heard(words) && s.conf.Settings.Peers {
 		s.platform.router.Told(words)
 	}
 }
@@ -263,6 +269,7 @@
 			s.door.Close()
 		}
 		s.bans.Close()
+		s.zones.close()
 		s.part()
 		s.platform.stop()
 		for _, p := range s.pools {
--- /dev/null
+++ b/internal/service/zones.go
@@ -0,0 +1,281 @@
+package service
+
+import (
+	"errors"
+	"hash/crc32"
+	"os"
+	"strconv"
+	"time"
+
+	"bendtrestle/internal/control"
+	"bendtrestle/internal/decide/zones"
+	"bendtrestle/internal/handover"
+	"bendtrestle/internal/operators"
+	"bendtrestle/logic"
+)
+
+// looking is the time between two looks at the zones: a third of the shortest times that are promised, and far above what a look takes.
+const looking = 0.05
+
+// zoneWatch brings what this process sees of zones, and what others say of them, to the decision, and its shares to all pools. A nil
+// one does nothing: zones are off.
+type zoneWatch struct {
+	s     *Service
+	fleet *zones.Fleet
+	on    bool
+	bans  *handover.Bans // zones that are left by hand
+	hand  map[string]bool
+	twins map[string]bool // names that were logged as not to be told apart
+}
+
+// openZones makes the watch where the operators want it.
+func (s *Service) openZones(f operators.File) {
+	if !f.Zones.On {
+		return
+	}
+	c := s.conf
+	life := crc32.ChecksumIEEE([]byte(time.Now().String() + strconv.Itoa(os.Getpid())))
+	w := &zoneWatch{s: s, on: true, hand: map[string]bool{}, twins: map[string]bool{}}
+	w.fleet = zones.New(zones.Settings{Me: c.Settings.Me, Routers: c.Settings.Routers, Life: uint16(life), WarmWithin: c.Settings.WarmWithin,
+		Regions: f.Groups()})
+	s.zones = w
+	if c.Settings.Routers > 1 && s.peers == nil {
+		s.log.Warn().Msg("zones are on, and no other router can be heard: none is left but by hand")
+	}
+}
+
+func (w *zoneWatch) begin() {
+	if w == nil {
+		return
+	}
+	bans, names := handover.OpenBans(handover.Path(w.s.conf.Shared, w.s.conf.Listen, "zones"),
+		func(names []string) { w.s.loop.Post(func() { w.byHand(names) }) }, w.s.log)
+	w.bans = bans
+	w.byHand(names)
+	w.tick()
+}
+
+func (w *zoneWatch) close() {
+	if w != nil {
+		w.bans.Close()
+	}
+}
+
+// reconfigure takes the operators' file anew.
+func (w *zoneWatch) reconfigure(f operators.File) {
+	if w == nil {
+		return
+	}
+	w.fleet.Regions(f.Groups())
+	if w.on && !f.Zones.On {
+		w.s.log.Warn().Msg("zones.on needs a restart; zones stay on")
+	}
+}
+
+func (w *zoneWatch) now() float64 { return w.s.loop.Now() }
+
+func (w *zoneWatch) tick() {
+	if w.s.phase == Ended {
+		return
+	}
+	w.fleet.Tick(w.now())
+	w.act()
+	for _, words := range w.fleet.Say(w.now()) {
+		w.s.peers.Tell(words)
+	}
+	w.s.loop.After(looking, w.tick)
+}
+
+// act takes the decisions to the pools.
+func (w *zoneWatch) act() {
+	changed := map[string]bool{}
+	for _, c := range w.fleet.Changes() {
+		w.s.log.Info().Str("zone", c.Zone).Stringer("from", c.From).Stringer("to", c.To).Float64("share", c.Share).Str("why", c.Why).Msg("zone")
+		if !changed[c.Zone] {
+			changed[c.Zone] = true
+			w.share(w.s.platform, c.Zone)
+			for _, p := range w.s.pools {
+				w.share(p, c.Zone)
+			}
+		}
+	}
+	if len(changed) > 0 {
+		w.s.publish()
+	}
+}
+
+// share tells a pool what a zone serves now. What waits for a connection there was never sent, and goes elsewhere as such.
+func (w *zoneWatch) share(p *pool, zone string) {
+	x := w.fleet.Share(zone)
+	if x == 0 {
+		for id, e := range p.entries {
+			if e.Zone == zone {
+				p.fleet.LetGo(id)
+			}
+		}
+	}
+	p.router.Zoned(zone, x)
+}
+
+// apply tells a new pool of all zones.
+func (w *zoneWatch) apply(p *pool) {
+	if w == nil {
+		return
+	}
+	for _, z := range w.fleet.States(w.now()) {
+		if z.Share < 1 {
+			w.share(p, z.Zone)
+		}
+	}
+}
+
+// listed takes the lists of all pools.
+func (w *zoneWatch) listed() {
+	if w == nil {
+		return
+	}
+	servers, ids := map[string]int{}, map[uint16]bool{}
+	take := func(p *pool) {
+		for id, e := range p.entries {
+			if ids[uint16(id)] = true; e.Zone != "" && e.Mode == logic.InService {
+				servers[e.Zone]++
+			}
+		}
+	}
+	take(w.s.platform)
+	for _, p := range w.s.pools {
+		take(p)
+	}
+	for _, name := range w.fleet.Listed(w.now(), servers, ids) {
+		if !w.twins[name] && len(w.twins) < 100 {
+			w.twins[name] = true
+			w.s.log.Warn().Str("zone", name).Msg("this zone cannot be told from another in words, or there are too many: it is never left")
+		}
+	}
+}
+
+// heard takes another router's words; false if they are not of zones.
+func (w *zoneWatch) heard(words []byte) bool { return w != nil && w.fleet.Heard(w.now(), words) }
+
+// Began takes that an execution begins.
+func (w *zoneWatch) Began(zone string, within float64) uint64 {
+	return w.fleet.Began(w.now(), zone, within)
+}
+
+// Ended takes how it went.
+func (w *zoneWatch) Ended(zone string, mark uint64, how logic.Outcome, took, within float64) {
+	end := zones.Unsaid
+	switch how {
+	case logic.Finished, logic.Error, logic.NotStored: // also an error is an answer
+		if end = zones.Answered; took > within {
+			end = zones.Late
+		}
+	case logic.TurnedAway:
+		end = zones.Full
+	case logic.NoAnswer:
+		if took >= within { // else its client was in a hurry
+			end = zones.Silent
+		}
+	case logic.NoConnection, logic.ConnectionLost:
+		end = zones.Silent
+	}
+	w.fleet.Ended(w.now(), zone, mark, end)
+}
+
+// byHand takes the whole set of zones that are left by hand.
+func (w *zoneWatch) byHand(names []string) {
+	now := map[string]bool{}
+	for _, name := range names {
+		now[name] = true
+		if !w.hand[name] && w.fleet.Hand(w.now(), name, true) {
+			w.hand[name] = true
+		}
+	}
+	for name := range w.hand {
+		if !now[name] {
+			w.fleet.Hand(w.now(), name, false)
+			delete(w.hand, name)
+		}
+	}
+	w.act()
+}
+
+// figures shows how zones stand.
+func (w *zoneWatch) figures(say func(name string, value uint64)) {
+	if w == nil {
+		return
+	}
+	left, returning, moves := uint64(0), uint64(0), uint64(0)
+	for _, z := range w.fleet.States(w.now()) {
+		switch moves += z.Moves; z.State {
+		case zones.Left, zones.Tried:
+			left++
+		case zones.Returning:
+			returning++
+		}
+	}
+	say("zones_left", left)
+	say("zones_returning", returning)
+	say("zone_moves", moves)
+	say("zone_words", w.fleet.Words)
+}
+
+var (
+	errZonesOff = errors.New("zones are off: the operators' file is to say on = true under [zones]")
+	errLastZone = errors.New("no zone would remain; the last one is not left")
+)
+
+// Zones gives all zones.
+func (d *desk) Zones() (all []control.Zone, err error) {
+	if d.s.zones == nil {
+		return nil, errZonesOff
+	}
+	err = d.do(func() error {
+		now := d.s.zones.now()
+		for _, z := range d.s.zones.fleet.States(now) {
+			all = append(all, control.Zone{Zone: z.Zone, State: z.State.String(), Share: z.Share, For: now - max(z.Since, d.s.began), Hand: z.Hand,
+				Servers: z.Servers, Against: z.Against, With: z.For, Known: z.Known, Times: z.Times, Why: z.Why})
+		}
+		return nil
+	})
+	return all, err
+}
+
+// LeaveZone leaves a zone until ReturnZone.
+func (d *desk) LeaveZone(zone string) error { return d.zoneByHand(zone, true) }
+
+// ReturnZone lets a zone return, whoever left it.
+func (d *desk) ReturnZone(zone string) error { return d.zoneByHand(zone, false) }
+
+func (d *desk) zoneByHand(zone string, out bool) error {
+	w := d.s.zones
+	if w == nil {
+		return errZonesOff
+	}
+	kept := false
+	err := d.do(func() error {
+		switch {
+		case out && !w.fleet.Known(zone):
+			return control.ErrNoZone
+		case out && !w.fleet.Hand(w.now(), zone, true):
+			return errLastZone
+		case out:
+			w.hand[zone], kept = true, true
+		case w.hand[zone]:
+			w.fleet.Hand(w.now(), zone, false)
+			delete(w.hand, zone)
+			kept = true
+		case !w.fleet.Return(w.now(), zone):
+			return control.ErrNoZone
+		}
+		w.act()
+		return nil
+	})
+	if err == nil && kept {
+		if err = w.bans.Set(zone, out); err != nil { // it holds, but the next process will not know
+			d.s.log.Error().Err(err).Str("zone", zone).Msg("what was called by hand cannot be kept for the next process")
+			err = nil
+		}
+	}
+	return err
+}
--- a/logic/host.go
+++ b/logic/host.go
@@ -183,6 +183,7 @@
 	servers      map[uint64]*server // every server that a list has named
 	ready        []*server          // the caches in service, by id
 	origins      []*server          // the origin's servers in service, by id
+	left         map[string]float64 // the part of its keys that a zone does not serve now
 	size         float64            // the mean of theirs
 	points       []point            // of the ready caches
 	orders       [slots][]point     // the points most similar to a slot, kept until membership changes
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1,13 +1,13 @@
-// Package logic is bendtrestle's decision module. A router process makes one Router with New and then calls
-// one method for each thing that happens: Listed, Barred, Arrived, Began, Settled, Left, Told, Wake. It acts
-// by calling the Host it was handed, before the method returns. Host and all types, the kept records among
-// them, are in host.go. Time is in seconds; equal calls lead to equal actions.
+// Package logic is bendtrestle's decision module. A router makes one Router with New and calls one method for
+// each thing that happens, as Arrived or Settled. It acts by its Host, before the method returns. Host, other
+// types and records are in host.go. Time is in seconds; equal calls lead to equal actions.
 package logic
 
 import (
 	"cmp"
 	"encoding/binary"
 	"hash/crc32"
+	"maps"
 	"math"
 	"math/bits"
 	"slices"
@@ -74,7 +74,7 @@
 func New(now float64, set Settings, host Host) *Router {
 	r := &Router{host: host, set: set, now: now, rows: map[string]*row{}, tenants: map[string]*tenant{},
 		servers: map[uint64]*server{}, ops: map[uint64]*operation{}, flowAt: now, began: now, voice: 1, taken: 0.5,
-		purses: map[string]*float64{}}
+		purses: map[string]*float64{}, left: map[string]float64{}}
 	r.set.Routers = max(1, set.Routers)
 	r.Offer(set.TrafficTypes)
 	for _, t := range set.Tenants {
@@ -231,7 +231,7 @@
 	var ends [slots + 1]int // by counting: a growing fleet is ranked often, and comparing took half of all time
 	all := make([]point, 0, places*len(r.ready))
 	for _, s := range r.ready {
-		s.points = places
+		s.points, r.size = places, r.size+s.size/float64(len(r.ready))
 		if r.set.Weights != None && largest > 0 {
 			s.points = max(1, int(math.Round(places*s.size/largest)))
 		}
@@ -249,9 +249,6 @@
 		ends[p.at]++
 	}
 	clear(r.orders[:])
-	for _, s := range r.ready {
-		r.size += s.size / float64(len(r.ready))
-	}
 }
 
 // order gives the points of the ready caches that are most similar to a slot, n of them or all. They lie near
@@ -298,6 +295,8 @@
 		// it takes no part of what the warm ones shed (rule 4); where all tell, that left it idle as they jammed.
 		w, part := r.warmth(p.on), float64(mix(hash, p.on.ID))/(1<<32)
 		slow := float64(p.rank)+part >= float64(p.on.points)*p.on.share
+		gone, zone := r.left[p.on.Zone], uint64(crc32.ChecksumIEEE([]byte(p.on.Zone)))
+		slow = slow || gone > 0 && float64(mix(hash, zone)) >= (1-gone)*(1<<32)
 		if w < 1 && part >= w*taken || slow || !pass(p.on) {
 			continue
 		}
@@ -579,7 +578,7 @@
 	r.now = now
 	if op := r.ops[id]; op != nil && n >= 0 && n < len(op.executions) {
 		op.began = true
-		r.withdraw(op, n)
+		r.withdraw(op, func(e *execution) bool { return e.n != n })
 	}
 }
 
@@ -828,16 +827,16 @@
 func (r *Router) end(op *operation) {
 	if !op.answered {
 		op.answered = true
-		r.withdraw(op, -1)
+		r.withdraw(op, (*execution).isOut)
 	}
 	if !op.any((*execution).isOut) {
 		delete(r.ops, op.id)
 	}
 }
 
-func (r *Router) withdraw(op *operation, keep int) {
+func (r *Router) withdraw(op *operation, which func(*execution) bool) {
 	for _, e := range op.executions {
-		if e.out && e.n != keep && r.set.Cancelling {
+		if e.out && which(e) && r.set.Cancelling {
 			r.host.Withdraw(op.id, e.n)
 		}
 	}
@@ -854,6 +853,17 @@
 // Probed takes the end of a probe.
 func (r *Router) Probed(now float64, id uint64, how Outcome) { r.now = now }
 
+// Zoned takes the part of its keys that a zone serves from now on, the same keys at every router. What is out
+// in one that is left goes elsewhere, where it may: it would wait there for all of its client's patience.
+func (r *Router) Zoned(now float64, zone string, share float64) {
+	r.now, r.left[zone] = now, 1-share
+	for _, id := range slices.Sorted(maps.Keys(r.ops)) {
+		if op := r.ops[id]; share == 0 && r.mayDecline(op) {
+			r.withdraw(op, func(e *execution) bool { return e.on.Zone == zone && !r.isOrigin(e.on) })
+		}
+	}
+}
+
 // Wake takes a timer: the list is asked for again, after an error or if nothing came.
 func (r *Router) Wake(now float64, name string) {
 	r.now = now
