Put relays between processes, and drop what a given-up execution still had on its way

The laboratory's relays stand for each router at each other one (words) and for each cache server and list service at each router (connections): cut, both ways or one, late, lost, doubled, reset, healed; faults part, part-one-way, conns-late, conns-reset, words-lose, words-late, words-double, router-stop; targets zone:N and region:NAME. A relay cut off lets no connection come up. Ruled out: the relay passing on what its sender had given up (a reset is now told from an end). Cause: sock.Conn.Close shuts a connection down in order, so that the kernel goes on sending what was not taken, for minutes, and a machine that is back gets it. Change: what is given up while it is out ends its connection so that the kernel forgets it (Conn.Forget in link.broken).

--- a/internal/caches/link.go
+++ b/internal/caches/link.go
@@ -170,6 +170,9 @@
 	}
 	l.queue = nil
 	l.cut()
+	if l.conn != nil { // what was given up must not reach a machine that was cut off seconds later, when its operation has long ended
+		l.conn.Forget()
+	}
 	l.close()
 	l.on.dial()
 }
--- a/internal/lab/build.go
+++ b/internal/lab/build.go
@@ -13,7 +13,7 @@
 	"bendtrestle/internal/lab/baseline"
 )
 
-// Resolve finds what a name means as a router: "head" (this working tree, built), a baseline, "flat:SECONDS" (this
+// Resolve finds what a name means as a router: "head" (this working tree, built), "plain" (the same, which leaves no zones as one), a baseline, "flat:SECONDS" (this
 // program, whose budgets count every operation alike), a program's path, or a revision of this repository, which is built aside in dir.
 func Resolve(ctx context.Context, name, dir string) (Program, error) {
 	if slices.Contains(baseline.Names(), name) {
@@ -27,6 +27,11 @@
 		self, err := os.Executable()
 		return Program{Name: name, Args: []string{self, "router", "--flat", text}}, err
 	}
+	if name == "plain" {
+		p, err := Resolve(ctx, "head", dir)
+		p.Name, p.Plain = name, true
+		return p, err
+	}
 	if name == "head" {
 		root, err := output(ctx, ".", "go", "list", "-m", "-f", "{{.Dir}}")
 		if err != nil {
--- a/internal/lab/cause.go
+++ b/internal/lab/cause.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 
@@ -18,6 +19,10 @@
 	}
 	where := kinds[f.Kind].on
 	t, err := target{}, error(nil)
+	if where == "part" {
+		w.causePart(f, halt)
+		return
+	}
 	if where != "none" && where != "ledger" {
 		if t, err = w.s.target(where, f.Target, f.Pool); err != nil {
 			w.fail(err)
@@ -64,6 +69,14 @@
 	if t.number >= 0 {
 		return []*standin.Server{fleet.Servers()[t.number]}
 	}
+	if t.zones != nil {
+		for _, s := range fleet.Servers() {
+			if slices.Contains(t.zones, s.Zone) {
+				hit = append(hit, s)
+			}
+		}
+		return hit
+	}
 	in := fleet.Serving()
 	for _, i := range draw(chance, len(in), t.count) {
 		hit = append(hit, in[i])
@@ -279,6 +292,10 @@
 	for _, t := range w.types {
 		longest = max(longest, t.HardStop)
 	}
+	if f.Kind == "router-stop" {
+		w.causeStop(f, hit, halt)
+		return
+	}
 	for i, n := range hit {
 		r := w.nodes[n]
 		switch f.Kind {
--- a/internal/lab/play.go
+++ b/internal/lab/play.go
@@ -9,10 +9,12 @@
 	"net"
 	"net/netip"
 	"os"
+	"path/filepath"
 	"slices"
 	"sync"
 	"time"
 
+	"bendtrestle/internal/lab/relay"
 	"bendtrestle/internal/sock"
 	"bendtrestle/internal/standin"
 	"bendtrestle/logic"
@@ -38,7 +40,8 @@
 	FleetLate   *standin.Lateness
 	ClientsLate *standin.Lateness
 	Interrupted bool
-	Played      []string // the faults, as they were played
+	Played      []string        // the faults, as they were played
+	Burnt       []relay.Sending // what routers wrote where nothing came through
 }
 
 // world is a run under way.
@@ -57,6 +60,8 @@
 	chance   *rand.Rand         // of the faults' targets
 	began    float64
 	moves    int
+	net      *relay.Net // nil: there are none
+	lists    []string   // where routers ask for the list, through relays
 
 	mu     sync.Mutex
 	played []string
@@ -92,6 +97,9 @@
 	for _, f := range w.fleets {
 		rec.Fleet.Join(f.Book())
 	}
+	if w.net != nil {
+		rec.Burnt = w.net.Sent()
+	}
 	rec.FleetLate, rec.ClientsLate = w.fleet.Late(), w.clients.Late()
 	for n := range w.nodes {
 		var told []standin.Told
@@ -111,6 +119,9 @@
 	for _, f := range w.fleets {
 		f.Close()
 	}
+	if w.net != nil {
+		w.net.Close()
+	}
 }
 
 func (w *world) address(kind, n, port int) string {
@@ -177,8 +188,26 @@
 		w.nodes = append(w.nodes, &node{n: n, addr: addr, program: w.o.Router, dir: w.o.Dir, memoryMB: s.Routers.MemoryMB,
 			sockets: s.Routers.Sockets, now: w.fleetOn.Now})
 	}
+	if s.relayed() {
+		if err = w.relays(); err != nil {
+			return fmt.Errorf("%w (another --net may be free)", err)
+		}
+	}
 	for n, r := range w.nodes {
-		r.conf = w.s.config(n, routers, w.agents[0][n], w.o.Seed, w.peers())
+		r.conf = w.s.config(n, routers, w.agents[0][n], w.o.Seed, w.peersOf(n))
+		r.conf["discovery"] = w.listOf(n)
+		if len(w.peers()) > 0 {
+			r.conf["peer_listen"] = w.peers()[n]
+		}
+		if s.Routers.Doors {
+			r.conf["ops"] = w.address(routersAt, n, 9400)
+		}
+		if s.Routers.Folders {
+			r.folder = filepath.Join(w.o.Dir, fmt.Sprintf("router-%d.folder", n))
+			if err = os.MkdirAll(r.folder, 0o755); err != nil {
+				return err
+			}
+		}
 		r.operators = w.operators(n)
 	}
 	fronts := map[string][]string{} // where tiles are taken, by team
@@ -191,6 +220,9 @@
 	return err
 }
 
+// zones tells whether the routers leave zones as one.
+func (w *world) zones() bool { return w.s.Routers.Zones && !w.o.Router.Plain }
+
 func (w *world) peers() (all []string) {
 	if w.s.Routers.Peers {
 		for n := range w.s.Routers.Count {
@@ -202,14 +234,14 @@
 
 // operators gives a router's operators' file as it is to be now; empty without teams.
 func (w *world) operators(n int) string {
-	if len(w.s.Teams) == 0 {
+	if len(w.s.Teams) == 0 && !w.zones() {
 		return ""
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	lists := func(pool string) string { return w.agents[w.at(pool)][n].Addr() }
 	tileFront := func(team string) string { return w.tileFront(n, team) }
-	return w.s.operators(lists, tileFront, w.factors)
+	return w.s.operators(lists, tileFront, w.factors, w.zones())
 }
 
 // tileFront is where a router takes a team's map tiles.
--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -19,8 +19,9 @@
 
 // Program is what is started as a router: a command that reads GW_CONFIG.
 type Program struct {
-	Name string   // as reports call it
-	Args []string // the command
+	Name  string   // as reports call it
+	Plain bool     // it leaves no zones as one, whatever the scenario says
+	Args  []string // the command
 }
 
 // How a router's process ended.
@@ -59,6 +60,8 @@
 	cmd       *exec.Cmd
 	ended     chan struct{}
 	lives     []*Life
+	stopped   bool
+	folder    string // that outlives its processes; empty: they have none
 }
 
 func (r *node) file(name string) string {
@@ -102,6 +105,9 @@
 	if r.operators != "" {
 		cmd.Env = append(cmd.Env, "GW_OPERATORS="+r.file("toml"))
 	}
+	if r.folder != "" {
+		cmd.Env = append(cmd.Env, "TMPDIR="+r.folder)
+	}
 	cmd.Stdout, cmd.Stderr = log, log
 	// A group of its own: an interrupt at the terminal is the lab's to pass on. It dies with the lab.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
@@ -184,6 +190,7 @@
 	if ended == nil {
 		return
 	}
+	r.resume()
 	r.end(syscall.SIGTERM, asked)
 	select {
 	case <-ended:
@@ -204,6 +211,20 @@
 	}
 }
 
+// pause stops it where it stands; resume lets it go on. It does not notice.
+func (r *node) pause() { r.signal(syscall.SIGSTOP) }
+
+func (r *node) resume() { r.signal(syscall.SIGCONT) }
+
+func (r *node) signal(sig syscall.Signal) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.cmd != nil && len(r.lives) > 0 && r.lives[len(r.lives)-1].To == 0 {
+		r.stopped = sig == syscall.SIGSTOP
+		r.cmd.Process.Signal(sig)
+	}
+}
+
 // reload changes the configuration and tells the process.
 func (r *node) reload(change func()) error {
 	r.mu.Lock()
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -18,22 +18,23 @@
 
 // Scenario is a file that says what is played. Times are seconds, or milliseconds where the key ends in _ms.
 type Scenario struct {
-	Name    string      `toml:"name"`
-	About   string      `toml:"about"`
-	Seconds float64     `toml:"seconds"`
-	Settle  float64     `toml:"settle"` // before its figures count
-	Fleet   FleetPart   `toml:"fleet"`
-	Ledger  LedgerPart  `toml:"ledger"`
-	List    ListPart    `toml:"list"`
-	Routers RoutersPart `toml:"routers"`
-	Clients ClientsPart `toml:"clients"`
-	Rules   RulesPart   `toml:"rules"`
-	Types   []TypePart  `toml:"type"`
-	Pools   []PoolPart  `toml:"pool"`
-	Teams   []TeamPart  `toml:"team"`
-	Broker  BrokerPart  `toml:"broker"`
-	Faults  []Fault     `toml:"fault"`
-	Control []string    `toml:"control"` // kinds of fault without which it is played as well, to compare
+	Name    string       `toml:"name"`
+	About   string       `toml:"about"`
+	Seconds float64      `toml:"seconds"`
+	Settle  float64      `toml:"settle"` // before its figures count
+	Fleet   FleetPart    `toml:"fleet"`
+	Ledger  LedgerPart   `toml:"ledger"`
+	List    ListPart     `toml:"list"`
+	Routers RoutersPart  `toml:"routers"`
+	Clients ClientsPart  `toml:"clients"`
+	Rules   RulesPart    `toml:"rules"`
+	Types   []TypePart   `toml:"type"`
+	Pools   []PoolPart   `toml:"pool"`
+	Teams   []TeamPart   `toml:"team"`
+	Regions []RegionPart `toml:"region"`
+	Broker  BrokerPart   `toml:"broker"`
+	Faults  []Fault      `toml:"fault"`
+	Control []string     `toml:"control"` // kinds of fault without which it is played as well, to compare
 	file    *tomlfile.File
 }
 
@@ -82,7 +83,17 @@
 	Sockets  int       `toml:"sockets"`
 	Peers    bool      `toml:"peers"`
 	Probes   bool      `toml:"probes"`
-	Skew     []float64 `toml:"skew"` // their parts of the arrivals, as weights
+	Skew     []float64 `toml:"skew"`    // their parts of the arrivals, as weights
+	Zones    bool      `toml:"zones"`   // they leave zones and return to them as one
+	Relays   bool      `toml:"relays"`  // relays stand between them and all else, also without a fault that needs them
+	Doors    bool      `toml:"doors"`   // the operators' doors are open
+	Folders  bool      `toml:"folders"` // each has a folder of its own that outlives its processes
+}
+
+// RegionPart is zones that share what they depend on.
+type RegionPart struct {
+	Name  string   `toml:"name"`
+	Zones []string `toml:"zones"`
 }
 
 // ClientsPart describes the clients.
@@ -157,16 +168,18 @@
 
 // Fault is something that happens.
 type Fault struct {
-	Kind   string  `toml:"kind"`
-	Target string  `toml:"target"`
-	Pool   string  `toml:"pool"` // whose servers, list or origin; "": the usual one's
-	At     float64 `toml:"at"`
-	For    float64 `toml:"for"`
-	Factor float64 `toml:"factor"` // of slow and surge
-	Part   float64 `toml:"part"`   // of answers, or of arrivals
-	Drain  float64 `toml:"drain"`  // seconds from draining to gone
-	Count  int     `toml:"count"`  // servers that come; changes ago
-	Delay  float64 `toml:"delay"`  // seconds
+	Kind   string   `toml:"kind"`
+	Target string   `toml:"target"`
+	Pool   string   `toml:"pool"` // whose servers, list or origin; "": the usual one's
+	At     float64  `toml:"at"`
+	For    float64  `toml:"for"`
+	Factor float64  `toml:"factor"` // of slow and surge
+	Part   float64  `toml:"part"`   // of answers, or of arrivals
+	Drain  float64  `toml:"drain"`  // seconds from draining to gone
+	Count  int      `toml:"count"`  // servers that come; changes ago
+	Delay  float64  `toml:"delay"`  // seconds
+	From   string   `toml:"from"`   // of a part: the other group; left out: the rest
+	What   []string `toml:"what"`   // of a part: servers, words, list; left out: all
 }
 
 // Usual is what a scenario has where its file says nothing.
@@ -271,7 +284,7 @@
 	if len(s.Types) == 0 {
 		s.file.Fault("type", "none: at least one [[type]] is needed")
 	}
-	names := map[string]bool{}
+	names, zones := map[string]bool{}, s.zoneNames()
 	for i, t := range s.Types {
 		key := func(k string) string { return fmt.Sprintf("type.%d.%s", i, k) }
 		if t.Name == "" || strings.ContainsAny(t.Name, " ,=\r\n") {
@@ -301,10 +314,6 @@
 		if t.Scheme != "" && (t.Write || t.Effect != "reissuable") {
 			s.file.Fault(key("scheme"), "map tiles are read, and reissuable")
 		}
-		zones := []string{}
-		for z := range f.Zones {
-			zones = append(zones, fmt.Sprintf("zone-%d", z))
-		}
 		s.places(key("runs_in"), t.RunsIn, zones)
 		s.places(key("allowed_on"), t.AllowedOn, f.Machines)
 		if t.HardStopMS < t.PromisedMS {
@@ -312,6 +321,7 @@
 		}
 	}
 	s.checkTeams()
+	s.checkRegions(zones)
 	for i, fault := range s.Faults {
 		s.checkFault(fmt.Sprintf("fault.%d", i), fault)
 	}
@@ -389,8 +399,8 @@
 
 // A kind of fault: what it may hit, and which figures it needs.
 type kind struct {
-	on    string // server, router, list, type, ledger or none
-	needs string
+	on    string  // server, router, list, type, ledger or none
+	needs string  // or "" for none
 	least float64 // of that figure
 	most  float64
 	keeps bool // its length may be 0: it is over at once, or for good
@@ -425,6 +435,14 @@
 	"surge":          {on: "type", needs: "factor", least: 0, most: 1000},
 	"router-kill":    {on: "router"},
 	"router-restart": {on: "router", keeps: true},
+	"router-stop":    {on: "router"},
+	"part":           {on: "part"},
+	"part-one-way":   {on: "part"},
+	"conns-late":     {on: "part", needs: "delay", least: 0, most: 60},
+	"conns-reset":    {on: "part", keeps: true},
+	"words-lose":     {on: "part", needs: "part", least: 0, most: 1},
+	"words-late":     {on: "part", needs: "delay", least: 0, most: 600},
+	"words-double":   {on: "part", needs: "part", least: 0, most: 1},
 }
 
 // Kinds names all kinds of fault.
@@ -454,6 +472,12 @@
 			s.file.Fault(key+"."+name, "%s has none", f.Kind)
 		}
 	}
+	if k.on == "part" {
+		s.checkPart(key, f)
+		return
+	} else if f.From != "" || f.What != nil {
+		s.file.Fault(key+".from", "%s has neither from nor what", f.Kind)
+	}
 	if f.Pool != "" && (!slices.Contains([]string{"server", "list", "ledger"}, k.on) && f.Kind != "grow" || s.pool(f.Pool) == nil) {
 		s.file.Fault(key+".pool", "%q is not a pool, or this fault has none", f.Pool)
 		return
@@ -465,10 +489,11 @@
 
 // Target names what a fault hits: one by number, so many, a part, or all.
 type target struct {
-	what   string // server, router, list, type, tenant
-	number int    // of one, else -1
-	count  int    // of many drawn by chance
-	name   string // of a type or tenant
+	what   string   // server, router, list, type, tenant
+	number int      // of one, else -1
+	count  int      // of many drawn by chance
+	name   string   // of a type or tenant
+	zones  []string // of servers: all that are in them
 }
 
 func (s *Scenario) checkTarget(on, text, pool string) error {
@@ -522,6 +547,10 @@
 		}
 	case on == "type":
 		err = fmt.Errorf("%q is not type:NAME, tenant:NAME or empty for all", text)
+	case on == "server" && (what == "zone" || what == "region") && pool == "":
+		if t.zones, err = s.zonesOf(what, of); err != nil {
+			err = fmt.Errorf("%q: %w", text, err)
+		}
 	case text == on+"s" || on == "list" && text == "":
 	case what == on:
 		t.number, err = number(0, most-1)
--- a/internal/lab/teams.go
+++ b/internal/lab/teams.go
@@ -14,13 +14,20 @@
 )
 
 // operators writes the routers' operators' file for a scenario with teams: their contracts, each budget times a factor.
-func (s *Scenario) operators(lists, tileFront func(name string) string, factors map[string]float64) string {
+func (s *Scenario) operators(lists, tileFront func(name string) string, factors map[string]float64, zones bool) string {
 	var b strings.Builder
 	others := s.Broker.Others
 	if others == "" {
 		others = "platform"
 	}
 	fmt.Fprintf(&b, "[broker]\nothers = %q\n", others)
+	if zones {
+		fmt.Fprintf(&b, "\n[zones]\non = true\n")
+		for _, r := range s.Regions {
+			text, _ := json.Marshal(r.Zones)
+			fmt.Fprintf(&b, "\n[[region]]\nname = %q\nzones = %s\n", r.Name, text)
+		}
+	}
 	for _, p := range s.Pools {
 		fmt.Fprintf(&b, "\n[[pool]]\nname = %q\ndiscovery = %q\ncapacity = %v\nconnections = %v\n", p.Name, lists(p.Name), p.Capacity, p.Connections)
 		if p.Scheme != "" {
--- a/internal/standin/list.go
+++ b/internal/standin/list.go
@@ -58,6 +58,7 @@
 type change struct {
 	at    float64
 	entry entry
+	of    *Server
 }
 
 // entry is one cache server, in the protocol's words.
@@ -99,7 +100,7 @@
 	}
 	s.lastListed, s.lastStarted = mode, s.started
 	l.changes = append(l.changes, change{at: l.now(), entry: entry{ID: s.Name, Addr: s.Addr, Zone: s.Zone,
-		Machine: s.Machine, Cell: s.Cell, Mode: mode, Weight: s.Weight, Started: int64(s.started * 1e3)}})
+		Machine: s.Machine, Cell: s.Cell, Mode: mode, Weight: s.Weight, Started: int64(s.started * 1e3)}, of: s})
 	for _, a := range l.agents {
 		a.plan()
 	}
@@ -113,6 +114,7 @@
 	told    []Told
 	known   int     // the generation that it last told
 	last    float64 // when
+	via     func(s *Server) string // where its router reaches a cache server; nil: at its own address
 	server  *http.Server
 	all     []*http.Server // also those that it has moved from
 	addr    string
@@ -136,6 +138,9 @@
 	return a, a.listen(addr)
 }
 
+// Via has the agent name other addresses of cache servers: those at which its router alone reaches them.
+func (a *Agent) Via(via func(s *Server) string) { a.with(func() { a.via = via }) }
+
 // plan draws when the agent learns of the newest change.
 func (a *Agent) plan() {
 	for n := len(a.visible); n < len(a.l.changes); n++ {
@@ -195,7 +200,11 @@
 		if _, there := last[c.entry.ID]; !there {
 			order = append(order, c.entry.ID)
 		}
-		last[c.entry.ID] = c.entry
+		if last[c.entry.ID] = c.entry; a.via != nil {
+			e := c.entry
+			e.Addr = a.via(c.of)
+			last[e.ID] = e
+		}
 	}
 	out := answer{Generation: to, Whole: whole, Entries: []entry{}}
 	for _, id := range order {
--- a/internal/standin/silence.go
+++ b/internal/standin/silence.go
@@ -50,3 +50,12 @@
 	}
 	q.fds = nil
 }
+
+// BeSilent holds an address as a vanished machine would, until end is called.
+func BeSilent(addr string) (end func(), err error) {
+	q, err := beSilent(addr)
+	if err != nil {
+		return func() {}, err
+	}
+	return q.end, nil
+}
