--- a/internal/decide/zones/words.go
+++ b/internal/decide/zones/words.go
@@ -123,7 +123,7 @@
 	b = binary.LittleEndian.AppendUint16(b, f.set.Life)
 	b = binary.LittleEndian.AppendUint32(b, f.number)
 	flags := byte(0)
-	if f.cut(now) {
+	if cut, _ := f.alone(now); cut {
 		flags = 1
 	}
 	b = append(b, flags, byte(len(zones)), 0)
--- a/internal/decide/zones/zones.go
+++ b/internal/decide/zones/zones.go
@@ -374,6 +374,31 @@
 	for _, name := range f.names {
 		f.back(now, f.find(name))
 	}
+	f.remain(now)
+}
+
+// remain sees to it that some zone serves all of its keys, also when the list takes the others away: what returns is furthest, else
+// all that were left by themselves.
+func (f *Fleet) remain(now float64) {
+	var best *zone
+	var gone []*zone
+	for _, name := range f.names {
+		switch z := f.find(name); {
+		case z.servers == 0 || z.hand:
+		case z.share == 1:
+			return
+		case z.state == Returning && (best == nil || z.share > best.share):
+			best = z
+		case z.state != Returning:
+			gone = append(gone, z)
+		}
+	}
+	if best != nil {
+		gone = []*zone{best}
+	}
+	for _, z := range gone {
+		f.move(now, z, Returning, 1, "no other zone serves all of its keys")
+	}
 }
 
 // wake notices that this process stood still: what is out is old, what it knows of others is past, and so are the words that
@@ -435,7 +460,8 @@
 		}
 	}
 	if !z.hand {
-		take(z.ok, z.bad, z.state, z.share, !f.cut(now))
+		cut, _ := f.alone(now)
+		take(z.ok, z.bad, z.state, z.share, !cut)
 	}
 	for _, n := range slices.Sorted(maps.Keys(f.peers)) {
 		p := f.peers[n]
@@ -466,27 +492,42 @@
 	return v
 }
 
-// cut tells that what fails is rather this router's than the zones': it hears nobody, or most of what it sends fails while
-// it hears less than half of the fleet.
+// cut tells that what fails is rather this router's than the zones': it hears nobody; or, since the trouble began, no more of the
+// routers than stand in one zone; or less than half of the fleet while most zones fail.
 func (f *Fleet) cut(now float64) bool {
+	cut, few := f.alone(now)
+	return cut || few
+}
+
+// alone is the same in two parts. What others are to count is said with the first alone: when trouble has just begun nobody has
+// said anything since, and their words would count for nothing until their second.
+func (f *Fleet) alone(now float64) (cut, few bool) {
 	if f.set.Routers == 1 {
-		return false
+		return false, false
 	}
-	heard, seen, bad := 1, 0, 0
+	zones, seen, bad, began := 0, 0, 0, now
+	for _, z := range f.zones {
+		if z.servers > 0 {
+			zones++
+		}
+		if z.state == Left || z.state == Tried || z.ok == 0 && z.bad == 0 {
+			continue
+		}
+		if seen++; z.bad > 0 {
+			bad++
+			began = min(began, z.bad)
+		}
+	}
+	heard, since := 1, 1
 	for _, p := range f.peers {
 		if now-p.at <= f.stale() {
 			heard++
 		}
-	}
-	for _, z := range f.zones {
-		if z.ok > 0 || z.bad > 0 {
-			seen++
-			if z.bad > 0 {
-				bad++
-			}
+		if p.at > began {
+			since++
 		}
 	}
-	return heard == 1 || 2*bad > seen && 2*heard < f.set.Routers
+	return heard == 1 || 2*bad > seen && 2*since < f.set.Routers, bad > 0 && zones > 1 && since*zones <= heard
 }
 
 // follow takes what others have decided, where this router knows no better: it has just started, was stopped, or lost their words.
@@ -514,10 +555,10 @@
 	}
 }
 
-// others tells whether another zone would be left to serve: all are never left, for then the fault is not theirs.
+// others tells whether another zone would be left to serve all keys: all are never left, for then the fault is not theirs.
 func (f *Fleet) others(z *zone) bool {
 	for _, o := range f.zones {
-		if o != z && o.servers > 0 && o.share > 0 {
+		if o != z && o.servers > 0 && o.share == 1 {
 			return true
 		}
 	}
@@ -549,7 +590,7 @@
 			} else if z.state == Well && v.against >= min(2, f.set.Routers) && v.held == 0 && z.servers > 0 {
 				f.move(now, z, Suspected, 1, fmt.Sprintf("%d of %d routers have had no answer there", v.against, v.known))
 			}
-			if z.servers > 0 {
+			if z.servers > 0 && z.share == 1 {
 				stay++
 			}
 			continue
--- a/internal/decide/zones/zones_test.go
+++ b/internal/decide/zones/zones_test.go
@@ -100,6 +100,9 @@
 				w.stays(other)
 			}
 			w.run(3)
+			for _, other := range []string{"a", "c", "d"} { // also by those that are inside
+				w.stays(other)
+			}
 			if c.end != nil {
 				c.end(w)
 			}
--- a/internal/lab/play.go
+++ b/internal/lab/play.go
@@ -59,6 +59,7 @@
 	factors  map[string]float64 // of the teams' budgets, by faults
 	chance   *rand.Rand         // of the faults' targets
 	began    float64
+	ended    chan error // of the two loops
 	moves    int
 	net      *relay.Net // nil: there are none
 	lists    []string   // where routers ask for the list, through relays
@@ -70,28 +71,39 @@
 
 // Play plays a scenario once. An error means that it could not be played; what routers did wrong is in the records.
 func Play(ctx context.Context, s *Scenario, o Options) (*Records, error) {
-	w := &world{s: s, o: o, types: s.types(), chance: rand.New(rand.NewPCG(o.Seed, 77)), factors: map[string]float64{}}
-	if err := w.build(); err != nil {
-		w.abandon()
+	w, err := begin(ctx, s, o)
+	if w == nil {
 		return nil, err
 	}
-	ended := make(chan error, 2)
-	go func() { ended <- w.fleetOn.Run() }()
-	go func() { ended <- w.clientOn.Run() }()
-	err := w.startRouters(ctx)
 	var rec *Records
 	if err == nil {
 		rec = w.play(ctx)
 	}
 	w.end()
-	<-ended
-	<-ended
+	if err == nil {
+		err = w.failed
+	}
 	if err != nil {
 		return nil, err
 	}
-	if w.failed != nil {
-		return nil, w.failed
+	w.collect(rec)
+	return rec, nil
+}
+
+// begin sets all up and starts the routers. With an error there may be a world that is to be ended.
+func begin(ctx context.Context, s *Scenario, o Options) (*world, error) {
+	w := &world{s: s, o: o, types: s.types(), chance: rand.New(rand.NewPCG(o.Seed, 77)), factors: map[string]float64{}, ended: make(chan error, 2)}
+	if err := w.build(); err != nil {
+		w.abandon()
+		return nil, err
 	}
+	go func() { w.ended <- w.fleetOn.Run() }()
+	go func() { w.ended <- w.clientOn.Run() }()
+	return w, w.startRouters(ctx)
+}
+
+// collect takes together what was seen, once all has ended.
+func (w *world) collect(rec *Records) {
 	rec.Played = w.played
 	rec.Fleet, rec.Clients = &standin.Book{}, w.clients.Book()
 	for _, f := range w.fleets {
@@ -111,7 +123,6 @@
 	for _, n := range w.nodes {
 		rec.Lives = append(rec.Lives, n.history()...)
 	}
-	return rec, nil
 }
 
 // abandon lets go of what was built and never ran.
@@ -426,6 +437,8 @@
 	on(w.fleetOn, w.abandon)
 	w.fleetOn.Post(w.fleetOn.Stop)
 	w.clientOn.Post(w.clientOn.Stop)
+	<-w.ended
+	<-w.ended
 }
 
 const margin = 1.2 // seconds after the longest hard stop that a router has to end, by the protocol 0.7, and to exit
--- a/internal/lab/scenario_test.go
+++ b/internal/lab/scenario_test.go
@@ -27,7 +27,7 @@
 func TestFaultsOfScenarios(t *testing.T) {
 	const head = "name = \"s\"\nseconds = 10\n"
 	for text, want := range map[string]string{
-		"[[fault]]\nkind = \"quake\"\nat = 1":                                                                                   `test.toml:4: fault.0.kind: "quake" is not a fault; there are contract, crash,`,
+		"[[fault]]\nkind = \"quake\"\nat = 1":                                                                                   `test.toml:4: fault.0.kind: "quake" is not a fault; there are conns-late, conns-reset, contract, crash,`,
 		"[[fault]]\nkind = \"stall\"\ntarget = \"server:9\"\nat = 1\nfor = 1":                                                   `test.toml:5: fault.0.target: "server:9": "9" is not a number from 0 to 5`,
 		"[[fault]]\nkind = \"stall\"\ntarget = \"router:0\"\nat = 1\nfor = 1":                                                   `fault.0.target: "router:0" is not server:NUMBER`,
 		"[[fault]]\nkind = \"stall\"\ntarget = \"servers\"\nat = 11\nfor = 1":                                                   `test.toml:6: fault.0.at: 11 is past the end, 10`,
