--- a/internal/lab/play.go
+++ b/internal/lab/play.go
@@ -37,6 +37,7 @@
 	Clients     *standin.ClientBook
 	Told        [][]standin.Told // by router
 	Lives       []Life
+	Stops       []Stop
 	FleetLate   *standin.Lateness
 	ClientsLate *standin.Lateness
 	Interrupted bool
@@ -122,6 +123,7 @@
 	}
 	for _, n := range w.nodes {
 		rec.Lives = append(rec.Lives, n.history()...)
+		rec.Stops = append(rec.Stops, n.stops...)
 	}
 }
 
--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -44,6 +44,12 @@
 	by               string // what the lab did to it
 }
 
+// Stop is a time for which a router's process stood still by the lab's doing. To is 0 if it never went on.
+type Stop struct {
+	Router   int
+	From, To float64
+}
+
 // node is one router: its address, its configuration, and its process if one runs.
 type node struct {
 	n        int
@@ -60,7 +66,7 @@
 	cmd       *exec.Cmd
 	ended     chan struct{}
 	lives     []*Life
-	stopped   bool
+	stops     []Stop
 	folder    string // that outlives its processes; empty: they have none
 }
 
@@ -220,7 +226,12 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.cmd != nil && len(r.lives) > 0 && r.lives[len(r.lives)-1].To == 0 {
-		r.stopped = sig == syscall.SIGSTOP
+		last := len(r.stops) - 1
+		if open := last >= 0 && r.stops[last].To == 0; sig == syscall.SIGSTOP && !open {
+			r.stops = append(r.stops, Stop{Router: r.n, From: r.now()})
+		} else if sig == syscall.SIGCONT && open {
+			r.stops[last].To = r.now()
+		}
 		r.cmd.Process.Signal(sig)
 	}
 }
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -78,10 +78,10 @@
 		return nil, err
 	}
 	x.w.note("%s %s begins", f.Kind, f.Target)
-	heal, err = x.w.net.Begin(r)
+	end, err := x.w.net.Begin(r)
 	return func() error {
 		x.w.note("%s %s ends", f.Kind, f.Target)
-		return heal()
+		return end()
 	}, err
 }
 
@@ -213,8 +213,16 @@
 	return append([]string(nil), x.w.played...)
 }
 
-// Tail is the end of a router's log.
-func (x *World) Tail(router int) string { return x.w.nodes[router].tail() }
+// Log is the lines of a router's log that hold a text, the newest last.
+func (x *World) Log(router int, holds string, most int) (lines []string) {
+	text, _ := os.ReadFile(x.w.nodes[router].file("log"))
+	for line := range strings.Lines(string(text)) {
+		if strings.Contains(line, holds) {
+			lines = append(lines, strings.TrimSpace(line))
+		}
+	}
+	return lines[max(0, len(lines)-most):]
+}
 
 var caller = http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 
--- a/internal/standin/list.go
+++ b/internal/standin/list.go
@@ -112,8 +112,8 @@
 	visible []float64 // when it learns of each change
 	shown   map[string]Mode
 	told    []Told
-	known   int     // the generation that it last told
-	last    float64 // when
+	known   int                    // the generation that it last told
+	last    float64                // when
 	via     func(s *Server) string // where its router reaches a cache server; nil: at its own address
 	server  *http.Server
 	all     []*http.Server // also those that it has moved from
