--- a/internal/decide/zones/zones.go
+++ b/internal/decide/zones/zones.go
@@ -439,7 +439,8 @@
 	return max(min(2, f.set.Routers), (known+3)/4)
 }
 
-// weigh sums up what is known of a zone. It looks at words by number, not by when they came: the same evidence gives the same.
+// weigh sums up what is known of a zone: counts, a median and a place in a sorted row, so that the same evidence gives the same
+// whatever its order.
 func (f *Fleet) weigh(now float64, z *zone) verdict {
 	v := verdict{known: 1, share: 1}
 	var bads, oks, shares []float64
@@ -463,8 +464,7 @@
 		cut, _ := f.alone(now)
 		take(z.ok, z.bad, z.state, z.share, !cut)
 	}
-	for _, n := range slices.Sorted(maps.Keys(f.peers)) {
-		p := f.peers[n]
+	for _, p := range f.peers {
 		if now-p.at > f.stale() {
 			continue
 		}
--- a/internal/lab/compare.go
+++ b/internal/lab/compare.go
@@ -34,6 +34,10 @@
 	{"fetches an op", -1, func(f Figures) float64 { return f.Fetches }},
 	{"p50 ms", -1, func(f Figures) float64 { return f.P50 }},
 	{"p99 ms", -1, func(f Figures) float64 { return f.P99 }},
+	{"burnt", -1, func(f Figures) float64 { return float64(f.Burnt) }},
+	{"lost after loss", -1, func(f Figures) float64 { return meanExit(f, func(x Exit) float64 { return x.LostAt }) }},
+	{"lost after heal", -1, func(f Figures) float64 { return meanExit(f, func(x Exit) float64 { return x.LostBack }) }},
+	{"back s", -1, func(f Figures) float64 { return meanExit(f, func(x Exit) float64 { return x.Back }) }},
 	{"cpu us a try", -1, func(f Figures) float64 { return f.RouterCPU }},
 }
 
--- /dev/null
+++ b/internal/lab/exits.go
@@ -0,0 +1,142 @@
+package lab
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"text/tabwriter"
+
+	"bendtrestle/internal/lab/relay"
+)
+
+// Exit is how the fleet took one loss of a zone or a region, as relays, stand-ins and clients saw it.
+type Exit struct {
+	Fault    string  `json:"fault"`
+	At       float64 `json:"at"`
+	Burnt    int     `json:"burnt"`           // what routers wrote there in vain while it lasted; where relays cut it off
+	Senders  int     `json:"senders"`         // routers that did
+	First    float64 `json:"first_left_s"`    // when the first and the last of them had stopped, but for tries
+	Last     float64 `json:"last_left_s"`     //
+	LostAt   float64 `json:"benefit_lost"`    // part of the benefit that was lost in the 10 s from its beginning ...
+	LostBack float64 `json:"lost_after_heal"` // ... and from its end
+	Back     float64 `json:"back_s"`          // from its end until the zone's servers saw nine tenths of the executions they had before
+	Fetches  float64 `json:"most_fetches"`    // of the origin in a second of the 10 after its end; and how many it bears
+	Bears    float64 `json:"origin_bears"`    //
+}
+
+const (
+	watched = 10.0 // seconds after a loss and after a return
+	resting = 0.4  // a router that writes nothing there for so long has left: it had several a second
+)
+
+// exits looks at each fault that takes a zone or a region away.
+func exits(s *Scenario, rec *Records) (all []Exit) {
+	for _, f := range s.Faults {
+		t, err := s.group(f.Target, nil)
+		if err != nil || !slices.Contains([]string{"part", "vanish", "crash"}, f.Kind) || len(f.Target) < 5 || f.Target[:4] != "zone" && f.Target[:4] != "regi" {
+			continue
+		}
+		until := rec.To
+		begin, end := rec.From+f.At, rec.From+f.At+f.For
+		for _, next := range s.Faults {
+			if at := rec.From + next.At; at > end {
+				until = min(until, at)
+			}
+		}
+		x := Exit{Fault: f.Kind + " " + f.Target, At: f.At, Bears: float64(s.Ledger.AtOnce) / (s.Ledger.TakesMS / 1e3),
+			LostAt: lostBetween(rec, begin, min(begin+watched, end)), LostBack: lostBetween(rec, end, min(end+watched, until))}
+		x.leaving(rec, t, begin, end)
+		in := func(zone string) bool { return t(relay.End{Kind: relay.Server, Zone: zone}) }
+		x.returning(rec, in, begin, end, until)
+		all = append(all, x)
+	}
+	return all
+}
+
+// lostBetween is the part of the benefit of what was due between two times that did not come in time.
+func lostBetween(rec *Records, from, to float64) float64 {
+	asked, gained := 0.0, 0.0
+	for _, o := range rec.Clients.Ops {
+		if o.Due >= from && o.Due < to {
+			asked += o.Type.Benefit
+			if _, timely := o.Served(); timely {
+				gained += o.Type.Benefit
+			}
+		}
+	}
+	return 1 - share(gained, asked)
+}
+
+func (x *Exit) leaving(rec *Records, in func(relay.End) bool, begin, end float64) {
+	last, done := map[int]float64{}, map[int]bool{}
+	for _, b := range rec.Burnt {
+		if b.At < begin || b.At >= end || !in(b.To) || in(relay.End{Kind: relay.Router, N: b.Router}) {
+			continue
+		}
+		x.Burnt++
+		if at, sent := last[b.Router]; sent && b.At-at > resting {
+			done[b.Router] = true // what comes now is a try
+		}
+		if !done[b.Router] {
+			last[b.Router] = b.At
+		}
+	}
+	x.Senders = len(last)
+	for _, at := range last {
+		if x.Last = max(x.Last, at-begin); x.First == 0 || at-begin < x.First {
+			x.First = at - begin
+		}
+	}
+}
+
+func (x *Exit) returning(rec *Records, in func(zone string) bool, begin, end, until float64) {
+	const slice = 0.5
+	before, n := 0.0, 0
+	counts := make([]float64, int(max(0, until-end)/slice))
+	for _, e := range rec.Fleet.Executions {
+		if !in(e.Server.Zone) {
+			continue
+		}
+		if e.First >= begin-2 && e.First < begin {
+			before += slice / 2
+			n++
+		}
+		if i := int((e.First - end) / slice); e.First >= end && i < len(counts) {
+			counts[i]++
+		}
+	}
+	x.Back = until - end
+	for i, c := range counts {
+		if n > 0 && c >= 0.9*before {
+			x.Back = float64(i+1) * slice
+			break
+		}
+	}
+	fetches := make([]float64, int(watched))
+	for _, e := range rec.Fleet.Fetches {
+		if i := int(e.At - end); e.At >= end && i < len(fetches) {
+			fetches[i]++
+		}
+	}
+	x.Fetches = slices.Max(fetches)
+}
+
+func meanExit(f Figures, of func(Exit) float64) (x float64) {
+	for _, e := range f.Exits {
+		x += of(e) / float64(len(f.Exits))
+	}
+	return x
+}
+
+func printExits(out io.Writer, all []Exit) {
+	if len(all) == 0 {
+		return
+	}
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "loss\tat s\tburnt\tby routers\tfirst left s\tlast left s\tlost in 10 s\tlost after\tback s\tmost fetches/s\torigin bears\t")
+	for _, x := range all {
+		fmt.Fprintf(w, "%s\t%.1f\t%d\t%d\t%.2f\t%.2f\t%.4f\t%.4f\t%.1f\t%.0f\t%.0f\t\n", x.Fault, x.At, x.Burnt, x.Senders, x.First, x.Last, x.LostAt,
+			x.LostBack, x.Back, x.Fetches, x.Bears)
+	}
+	w.Flush()
+}
--- a/internal/lab/figures.go
+++ b/internal/lab/figures.go
@@ -38,6 +38,8 @@
 	Types        map[string]TypeFigures   `json:"types"`
 	Tenants      map[string]TenantFigures `json:"tenants,omitempty"`
 	Course       []Second                 `json:"course"`
+	Burnt        int                      `json:"burnt"` // what routers wrote where relays let nothing through
+	Exits        []Exit                   `json:"exits,omitempty"`
 }
 
 // TypeFigures is one traffic type.
@@ -178,6 +180,7 @@
 	f.SendLate = sends.Part(0.99) * 1e3
 	f.Halts = len(rec.Fleet.Halts)
 	f.Tenants = tenants(s, rec)
+	f.Burnt, f.Exits = len(rec.Burnt), exits(s, rec)
 	return f
 }
 
