--- a/internal/operators/operators_test.go
+++ b/internal/operators/operators_test.go
@@ -140,3 +140,17 @@
 		t.Errorf("the table is %v", rows)
 	}
 }
+
+// Faults of zones and regions name the line, what is wrong and what would be right.
+func TestRegions(t *testing.T) {
+	for text, want := range map[string]string{
+		"[zones]\non = true\n[[region]]\nname = \"w\"\nzones = [\"a\"]\n[[region]]\nname = \"w\"\nzones = [\"a\"]\n": `:7: region.1.name: "w" is there twice`,
+		"[zones]\non = true\n[[region]]\nname = \"w\"\nzones = []\n":                                                 `:5: region.0.zones: names none`,
+		"[zones]\non = true\n[[region]]\nname = \"w\"\nzones = [\"a\", \"a\"]\n":                                     `"a" is in region "w" already`,
+		"[[region]]\nname = \"w\"\nzones = [\"a\"]\n":                                                                `regions do nothing while zones.on is false`,
+	} {
+		if _, err := Read(file(t, text)); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: got %v, want %s", text, err, want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/service/zones_test.go
@@ -0,0 +1,36 @@
+package service
+
+import (
+	"testing"
+
+	"bendtrestle/internal/decide/zones"
+	"bendtrestle/internal/operators"
+	"bendtrestle/logic"
+)
+
+// How an execution ended says something of a zone, or not: a client in a hurry and what was never sent say nothing.
+func TestWhatSpeaksOfZones(t *testing.T) {
+	s, _ := next(t, freeAddress(t), "127.0.0.1:1", t.TempDir())
+	on(s, func() bool {
+		s.openZones(operators.File{Zones: operators.Zones{On: true}})
+		s.zones.begin()
+		return true
+	})
+	for _, c := range []struct {
+		how  logic.Outcome
+		took float64
+		bad  bool
+	}{{logic.NoAnswer, 0.5, true}, {logic.NoAnswer, 0.05, false}, {logic.NoConnection, 0, true}, {logic.ConnectionLost, 0, true},
+		{logic.NotSent, 0.5, false}, {logic.Withdrawn, 0.5, false}, {logic.Error, 0.1, false}, {logic.TurnedAway, 0, false}} {
+		suspected := on(s, func() int {
+			f := zones.New(zones.Settings{Routers: 1})
+			s.zones.fleet = f
+			f.Listed(s.loop.Now(), map[string]int{"a": 1, "b": 1}, nil)
+			s.zones.Ended("a", s.zones.Began("a", 0.2), c.how, c.took, 0.2)
+			return f.States(s.loop.Now())[0].Against
+		})
+		if (suspected > 0) != c.bad {
+			t.Errorf("outcome %d after %v s: %d against the zone, want some: %t", c.how, c.took, suspected, c.bad)
+		}
+	}
+}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -955,3 +955,75 @@
 	r.Barred(61, 2, false)
 	expect(t, "fresh since", s.fresh, 60.0)
 }
+
+// A zone with a share serves the same keys of its own at every router; the other keys stay where they were. Of one that is left what may
+// run again goes elsewhere at once, and what may not waits on.
+func TestZoned(t *testing.T) {
+	zoned := func(seed uint32, share float64) *Router {
+		r, _ := fleet(12, func(s *Settings) { s.Seed = seed })
+		for id, s := range r.servers {
+			s.Zone = string(rune('a' + id%3))
+		}
+		if share < 1 {
+			r.Zoned(0, "b", share)
+		}
+		return r
+	}
+	before, half, other, none := zoned(1, 1), zoned(1, 0.5), zoned(2, 0.5), zoned(1, 0)
+	kept, all := 0, 0
+	for key := range uint32(2000) {
+		pick := func(r *Router) *server { return r.nearest(stir(key), func(*server) bool { return true }) }
+		was, now := pick(before), pick(half)
+		if now != nil && pick(other).ID != now.ID {
+			t.Fatal("two routers differ")
+		}
+		if pick(none).Zone == "b" {
+			t.Fatal("a zone that is left serves a key")
+		}
+		if was.Zone != "b" {
+			if now.ID != was.ID {
+				t.Fatal("a key of another zone moved")
+			}
+			continue
+		}
+		if all++; now.ID == was.ID {
+			kept++
+		}
+	}
+	if part := float64(kept) / float64(all); part < 0.4 || part > 0.6 {
+		t.Errorf("%v of its keys stay, want half", part)
+	}
+	r, did := fleet(12, nil)
+	for id, s := range r.servers {
+		s.Zone = string(rune('a' + id%3))
+	}
+	for op, kind := range []string{"view", "pay"} {
+		for n := range 40 {
+			r.Arrived(1, uint64(op*100+n), kind, "", fmt.Sprint("key-", n), 2)
+		}
+	}
+	did.did = nil
+	r.Zoned(1.1, "b", 0)
+	views := 0
+	for _, line := range did.did {
+		var id uint64
+		var n int
+		if _, err := fmt.Sscanf(line, "withdraw %d/%d", &id, &n); err != nil || id >= 100 || r.ops[id].executions[n].on.Zone != "b" {
+			t.Fatalf("did %q: only what may run again, and is out there, is withdrawn", line)
+		}
+		views++
+	}
+	for id := range uint64(40) {
+		if op := r.ops[id]; op != nil && op.executions[0].on.Zone == "b" { // nil: declined, as all came at once
+			views--
+		}
+	}
+	if views != 0 || len(did.did) == 0 {
+		t.Errorf("%d of those out there were missed, %d withdrawn", -views, len(did.did))
+	}
+	id := uint64(0)
+	fmt.Sscanf(did.did[0], "withdraw %d", &id)
+	if r.Settled(1.1, id, 0, Withdrawn, 0.1, false); len(r.ops[id].executions) != 2 || r.ops[id].executions[1].on.Zone == "b" {
+		t.Error("what was withdrawn did not go elsewhere")
+	}
+}
