Send what is withdrawn from a zone that was left elsewhere without the purse, and test it

Seen by TestZoned: what Zoned withdrew was declined where the purse was empty. Cause: logic.go, further: only a miss or a harmless end goes on for free. What leaves a dead zone crowds nobody more than before: each had one execution out there.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -757,7 +757,7 @@
 		s = r.origin(op)
 	}
 	// Where nearly all are full, each further try crowds them more: most of these come from the purse, too.
-	room := how == NotStored || e.harmless && (e.on.down || r.chance() < 2*r.taken)
+	room := how == NotStored || how == Withdrawn || e.harmless && (e.on.down || r.chance() < 2*r.taken)
 	if s != nil && op.hardStop-r.now > r.expect(op, s) && (room || *op.purse >= 1) {
 		if !room {
 			*op.purse--
