--- a/cmd/trestlelab/main.go
+++ b/cmd/trestlelab/main.go
@@ -14,6 +14,7 @@
 	"bendtrestle/internal/config"
 	"bendtrestle/internal/lab"
 	"bendtrestle/internal/lab/baseline"
+	"bendtrestle/internal/lab/picture"
 	"bendtrestle/internal/operators"
 	"bendtrestle/internal/router"
 	"bendtrestle/internal/service"
@@ -113,6 +114,7 @@
 	Seed     uint64 `help:"Of arrivals, keys, works and targets." default:"1"`
 	Repeat   int    `help:"Runs, with seeds one after another." default:"1"`
 	JSON     string `help:"File for all figures." type:"path" name:"json"`
+	Plot     string `help:"PNG file for a picture of the last run: benefit, zones and origin over time." type:"path"`
 	place
 }
 
@@ -145,6 +147,11 @@
 				return err
 			}
 			r := lab.NewResult(s, o, rec)
+			if c.Plot != "" && n == 0 {
+				if err = picture.Draw(c.Plot, s, rec); err != nil {
+					return err
+				}
+			}
 			if r.Verdict == lab.RulesBroken {
 				logs = o.Dir
 			}
