--- a/internal/lab/together/zones_test.go
+++ b/internal/lab/together/zones_test.go
@@ -210,3 +210,32 @@
 	heal()
 	f.until("zone-1 is back", 12, f.back("zone-1", usual, 0.7))
 }
+
+// While a zone is left its servers are replaced by others at the same addresses, cold: they are returned to as such.
+func TestZoneComesBackWithOtherServers(t *testing.T) {
+	f := start(t, nil)
+	usual := f.calm("zone-1")
+	heal := f.cut("part", "zone:1", "routers", 0, "servers")
+	f.until("zone-1 is left", 2.5, f.left("zone-1"))
+	f.Replace("zone-1")
+	heal()
+	f.until("zone-1 is back", 14, f.back("zone-1", usual, 0.6))
+	f.until("all is served", 5, func() bool { return f.serves(1, 0.97) })
+}
+
+// A region of two zones is left, and its zones come back one after the other, in the order of the operators' file.
+func TestRegionReturnsZoneByZone(t *testing.T) {
+	f := start(t, func(text string) string {
+		return text + "[[region]]\nname = \"west\"\nzones = [\"zone-3\", \"zone-1\"]\n"
+	})
+	usual := f.calm("zone-1")
+	heal := f.cut("part", "region:west", "routers", 0, "servers")
+	f.until("zone-1 is left", 3, f.left("zone-1"))
+	f.until("zone-3 is left", 3, f.left("zone-3"))
+	heal()
+	f.until("one is back", 14, func() bool { return f.back("zone-1", usual, 0.7)() || f.back("zone-3", usual, 0.7)() })
+	if other := min(f.Arrived("zone-1", f.Now()-0.5), f.Arrived("zone-3", f.Now()-0.5)); float64(other) > usual/4 {
+		t.Errorf("the other zone of the region has %d executions in half a second by then: not one after the other", other)
+	}
+	f.until("both are back", 14, func() bool { return f.back("zone-1", usual, 0.7)() && f.back("zone-3", usual, 0.7)() })
+}
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -267,3 +267,25 @@
 	p, err := Resolve(ctx, "head", dir)
 	return p, dir, err
 }
+
+// Replace ends all servers of a zone for good and brings others, cold, at the same addresses.
+func (x *World) Replace(zone string) {
+	var gone []*standin.Server
+	x.OnFleet(func(f *standin.Fleet) {
+		for _, s := range f.Servers() {
+			if s.Zone == zone {
+				s.Leave()
+				gone = append(gone, s)
+			}
+		}
+	})
+	x.OnFleet(func(f *standin.Fleet) { // a later turn: the listeners are closed by then
+		for _, s := range gone {
+			spec := s.Spec
+			spec.Name = f.NextName()
+			_, err := f.Add(spec, true)
+			x.w.fail(err)
+		}
+	})
+	x.w.note("%s has other servers", zone)
+}
