Come back from a blackout: keep the rate, use cold servers at once, tell the phases

Seen, blackout.toml (all routers killed, all servers cold, list silent): for 5 s after the restart nothing was executed, though nine servers were known; all came back only once they were warm. Ruled out: the list (log: 9 ready at the start) and connections. Cause, two: logic.go, tips: what a cold cache may be sent follows what finishes, of which a new process knows nothing, so 0.05 a second from each router; and nearest: the slice of a fresh cache shrinks with what is declined (taken), to nothing after some dozens, also where no warm cache is there that could shed to it. Change: internal/store keeps in a folder what finished a second (and the last list); Settings.Flow hands it to the module, five minutes old at most; where no cache is warm the slice does not shrink. Off unless the operators' file says [recovery] on = true; the second part acts where all are cold.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -36,11 +36,21 @@
 	Enable(id string) error
 	Drain() error
 	Undrain() error
+	Status() (Status, error)
 	Zones() ([]Zone, error)
 	LeaveZone(zone string) error
 	ReturnZone(zone string) error
 }
 
+// Status is how far a start is.
+type Status struct {
+	Phase       string  `json:"phase"`
+	For         float64 `json:"for_s"`
+	FullService float64 `json:"full_service_seconds"` // that it took; 0: it is not there yet
+	Waits       string  `json:"waits_for"`
+	Taking      bool    `json:"taking_clients"`
+}
+
 // Zone is what the door shows of one zone.
 type Zone struct {
 	Zone    string  `json:"zone"`
@@ -218,6 +228,16 @@
 	m.HandleFunc("POST /cache-servers/disable", about("id of a cache server", r.Disable))
 	m.HandleFunc("POST /cache-servers/enable", about("id of a cache server", r.Enable))
 	m.HandleFunc("GET /zones", zones(r))
+	m.HandleFunc("GET /status", func(w http.ResponseWriter, q *http.Request) {
+		came(q)
+		st, err := r.Status()
+		if err != nil {
+			answer(w, err)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		json.NewEncoder(w).Encode(st)
+	})
 	m.HandleFunc("POST /zones/leave", about("name of a zone", r.LeaveZone))
 	m.HandleFunc("POST /zones/return", about("name of a zone", r.ReturnZone))
 	m.HandleFunc("POST /drain", plain(r.Drain))
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -18,6 +18,7 @@
 func (r routed) Zones() ([]Zone, error) {
 	return []Zone{{Zone: "a", State: "left", Why: "by hand"}}, r.err
 }
+func (r routed) Status() (Status, error)      { return Status{Phase: "full"}, r.err }
 func (r routed) LeaveZone(zone string) error  { return r.err }
 func (r routed) ReturnZone(zone string) error { return r.err }
 
@@ -61,6 +62,7 @@
 		{ErrNoZone, "POST /zones/return", "a", "404 " + ErrNoZone.Error()},
 		{nil, "POST /zones/leave", "", "400 the body is to be the name of a zone"},
 		{nil, "GET /zones", "", "200 ZONE  STATE"},
+		{nil, "GET /status", "", `200 {"phase":"full"`},
 		{ErrUnknown, "POST /cache-servers/enable", "s-2", "404 " + ErrUnknown.Error()},
 		{nil, "POST /cache-servers/enable", "", "400 the body is to be"},
 		{nil, "POST /cache-servers/disable", "s-1 s-2", "400 the body is to be"},
--- /dev/null
+++ b/internal/decide/recovery/recovery_test.go
@@ -0,0 +1,53 @@
+package recovery
+
+import "testing"
+
+// A start goes through its phases in order, is in full service once a whole second was served as usual and the list is confirmed, and
+// does not go back.
+func TestPhases(t *testing.T) {
+	s := Begin(100)
+	for _, c := range []struct {
+		now             float64
+		known, conf     bool
+		taken, finished uint64
+		want            Phase
+	}{
+		{100.1, false, false, 10, 0, Listening},
+		{101.2, true, false, 30, 0, Listed},
+		{101.4, true, false, 40, 5, Learning},
+		{102.5, true, false, 60, 25, Learning}, // all is served, but by a list that nobody has confirmed
+		{103.6, true, true, 90, 40, Learning},
+		{104.7, true, true, 120, 70, Full},
+		{106, true, true, 220, 70, Full},
+	} {
+		if c.known {
+			s.Known(3, c.conf)
+		}
+		s.Tick(c.now, c.taken, c.finished)
+		if p, _, _ := s.Phase(); p != c.want {
+			t.Errorf("at %v s: %v, want %v", c.now, p, c.want)
+		}
+	}
+	if _, _, full := s.Phase(); full < 4.6 || full > 4.8 {
+		t.Errorf("full service took %v s, want 4.7", full)
+	}
+	quiet := Begin(0)
+	quiet.Known(1, true)
+	for now := 0.1; now < 6; now += 0.1 {
+		quiet.Tick(now, 0, 0)
+	}
+	if p, _, _ := quiet.Phase(); p != Full {
+		t.Errorf("nobody came, and it is %v", p)
+	}
+}
+
+func TestBelieve(t *testing.T) {
+	for _, c := range []struct {
+		at, now float64
+		want    bool
+	}{{100, 110, true}, {100, 161, false}, {100, 99, false}} {
+		if got := Believe(c.at, c.now, 60); got != c.want {
+			t.Errorf("of %v at %v: %t", c.at, c.now, got)
+		}
+	}
+}
--- a/internal/lab/cause.go
+++ b/internal/lab/cause.go
@@ -334,7 +334,9 @@
 func (w *world) begun(n int) bool {
 	r := w.nodes[n]
 	r.mu.Lock()
-	r.conf["known"] = w.agents[0][n].Known()
+	if !w.s.List.Forgets {
+		r.conf["known"] = w.agents[0][n].Known()
+	}
 	r.mu.Unlock()
 	if err := r.start(); err != nil {
 		w.fail(err)
--- a/internal/lab/compare.go
+++ b/internal/lab/compare.go
@@ -38,6 +38,9 @@
 	{"lost after loss", -1, func(f Figures) float64 { return meanExit(f, func(x Exit) float64 { return x.LostAt }) }},
 	{"lost after heal", -1, func(f Figures) float64 { return meanExit(f, func(x Exit) float64 { return x.LostBack }) }},
 	{"back s", -1, func(f Figures) float64 { return meanExit(f, func(x Exit) float64 { return x.Back }) }},
+	{"full service s", -1, func(f Figures) float64 { return meanRecovery(f, func(r Recovery) float64 { return r.Full }) }},
+	{"lost until full", -1, func(f Figures) float64 { return meanRecovery(f, func(r Recovery) float64 { return r.Lost }) }},
+	{"handshakes", -1, func(f Figures) float64 { return meanRecovery(f, func(r Recovery) float64 { return float64(r.All) }) }},
 	{"cpu us a try", -1, func(f Figures) float64 { return f.RouterCPU }},
 }
 
--- a/internal/lab/figures.go
+++ b/internal/lab/figures.go
@@ -40,6 +40,7 @@
 	Course       []Second                 `json:"course"`
 	Burnt        int                      `json:"burnt"` // what routers wrote where relays let nothing through
 	Exits        []Exit                   `json:"exits,omitempty"`
+	Recoveries   []Recovery               `json:"recoveries,omitempty"`
 }
 
 // TypeFigures is one traffic type.
@@ -181,6 +182,7 @@
 	f.Halts = len(rec.Fleet.Halts)
 	f.Tenants = tenants(s, rec)
 	f.Burnt, f.Exits = len(rec.Burnt), exits(s, rec)
+	f.Recoveries = recoveries(s, rec)
 	return f
 }
 
--- a/internal/lab/play.go
+++ b/internal/lab/play.go
@@ -209,6 +209,9 @@
 	for n, r := range w.nodes {
 		r.conf = w.s.config(n, routers, w.agents[0][n], w.o.Seed, w.peersOf(n))
 		r.conf["discovery"] = w.listOf(n)
+		if s.List.Forgets {
+			delete(r.conf, "known")
+		}
 		if len(w.peers()) > 0 {
 			r.conf["peer_listen"] = w.peers()[n]
 		}
@@ -236,6 +239,9 @@
 // zones tells whether the routers leave zones as one.
 func (w *world) zones() bool { return w.s.Routers.Zones && !w.o.Router.Plain }
 
+// keeps tells whether the routers keep what helps their next process.
+func (w *world) keeps() bool { return w.s.Routers.Folders && !w.o.Router.Plain }
+
 func (w *world) peers() (all []string) {
 	if w.s.Routers.Peers {
 		for n := range w.s.Routers.Count {
@@ -247,14 +253,14 @@
 
 // operators gives a router's operators' file as it is to be now; empty without teams.
 func (w *world) operators(n int) string {
-	if len(w.s.Teams) == 0 && !w.zones() {
+	if len(w.s.Teams) == 0 && !w.zones() && !w.keeps() {
 		return ""
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	lists := func(pool string) string { return w.agents[w.at(pool)][n].Addr() }
 	tileFront := func(team string) string { return w.tileFront(n, team) }
-	return w.s.operators(lists, tileFront, w.factors, w.zones())
+	return w.s.operators(lists, tileFront, w.factors, w.zones(), w.keeps())
 }
 
 // tileFront is where a router takes a team's map tiles.
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -81,6 +81,7 @@
 		printCourse(out, results[0].Figures)
 		printTypes(out, results[0].Figures)
 		printExits(out, results[0].Figures.Exits)
+		printRecoveries(out, results[0].Figures.Recoveries)
 	}
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(w, "seed\toperations\tin time\tworst spell\tworst type\tlate\tdeclined\tterminated\tunserved\texec/op\tfetch/op\tp50 ms\tp99 ms\tverdict\t")
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -69,10 +69,11 @@
 
 // ListPart describes the list service.
 type ListPart struct {
-	Delay  float64 `toml:"delay"`
-	Spread float64 `toml:"spread"`
-	Calls  float64 `toml:"calls"`  // that it takes a second from all routers together, which then have to ask it; 0: any number
-	Within float64 `toml:"within"` // seconds within which it wants to be asked, where it is bounded
+	Delay   float64 `toml:"delay"`
+	Spread  float64 `toml:"spread"`
+	Calls   float64 `toml:"calls"`   // that it takes a second from all routers together, which then have to ask it; 0: any number
+	Forgets bool    `toml:"forgets"` // the platform gives a router that starts no list
+	Within  float64 `toml:"within"`  // seconds within which it wants to be asked, where it is bounded
 }
 
 // RoutersPart describes the routers.
--- a/internal/lab/teams.go
+++ b/internal/lab/teams.go
@@ -14,13 +14,16 @@
 )
 
 // operators writes the routers' operators' file for a scenario with teams: their contracts, each budget times a factor.
-func (s *Scenario) operators(lists, tileFront func(name string) string, factors map[string]float64, zones bool) string {
+func (s *Scenario) operators(lists, tileFront func(name string) string, factors map[string]float64, zones, recovery bool) string {
 	var b strings.Builder
 	others := s.Broker.Others
 	if others == "" {
 		others = "platform"
 	}
 	fmt.Fprintf(&b, "[broker]\nothers = %q\n", others)
+	if recovery {
+		fmt.Fprintf(&b, "\n[recovery]\non = true\n")
+	}
 	if zones {
 		fmt.Fprintf(&b, "\n[zones]\non = true\n")
 		for _, r := range s.Regions {
--- a/internal/lab/together/helpers_test.go
+++ b/internal/lab/together/helpers_test.go
@@ -93,7 +93,8 @@
 // fleet is a run in a test.
 type fleet struct {
 	*lab.World
-	t *testing.T
+	t    *testing.T
+	mark float64 // what was due before is not looked at
 }
 
 // start begins a run; what change makes of the usual scenario is played. When the test ends, so does the run, and the rules are judged.
@@ -124,7 +125,7 @@
 		<-places
 		t.Fatal(err)
 	}
-	f := &fleet{x, t}
+	f := &fleet{World: x, t: t}
 	t.Cleanup(func() {
 		defer func() { <-places }()
 		words := f.Words(20)
@@ -208,6 +209,9 @@
 // serves tells whether the operations that were due in the last seconds, and are over, were answered in the promised time but for a part.
 func (f *fleet) serves(seconds, least float64) bool {
 	to := f.Now() - 0.5 // by then an operation is in time or not
+	if to-seconds < f.mark {
+		return false
+	}
 	part, n := f.Served(to-seconds, to)
 	return n > 50 && part >= least
 }
--- a/internal/operators/operators.go
+++ b/internal/operators/operators.go
@@ -17,8 +17,9 @@
 	Pools  []Pool `toml:"pool"`
 	Teams  []Team `toml:"team"`
 
-	Zones   Zones    `toml:"zones"`
-	Regions []Region `toml:"region"`
+	Zones    Zones    `toml:"zones"`
+	Recovery Recovery `toml:"recovery"`
+	Regions  []Region `toml:"region"`
 
 	path string
 	from *tomlfile.File
@@ -82,6 +83,7 @@
 		{"log.form", f.Log.Form, from("log.form")},
 		{"broker.others", f.Broker.Others, from("broker.others")},
 		{"zones.on", fmt.Sprint(f.Zones.On), from("zones.on")},
+		{"recovery.on", fmt.Sprint(f.Recovery.On), from("recovery.on")},
 	}
 	for i, r := range f.Regions {
 		all = append(all, Setting{"region " + r.Name, strings.Join(r.Zones, ", ") + ", returning in this order", from(fmt.Sprintf("region.%d", i))})
--- /dev/null
+++ b/internal/operators/recovery.go
@@ -0,0 +1,6 @@
+package operators
+
+// Recovery says whether a router keeps in its folder what helps its next process.
+type Recovery struct {
+	On bool `toml:"on"`
+}
--- a/internal/service/desk.go
+++ b/internal/service/desk.go
@@ -128,6 +128,9 @@
 	say("conf_loaded", s.loaded)
 	say("conf_invalid", s.invalid)
 	s.zones.figures(say)
+	if s.operators.Recovery.On {
+		s.recovery.figures(say)
+	}
 	return []byte(all.String())
 }
 
--- a/internal/service/pool.go
+++ b/internal/service/pool.go
@@ -157,6 +157,7 @@
 	}
 	p.router.Listed(kind, members)
 	p.s.zones.listed()
+	p.s.recovery.listed(p, kind != logic.Disk)
 	maps.DeleteFunc(p.listed, func(id uint64, in bool) bool {
 		if !in {
 			p.fleet.Unlisted(id)
--- /dev/null
+++ b/internal/service/recovery.go
@@ -0,0 +1,173 @@
+package service
+
+import (
+	"fmt"
+	"math"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"bendtrestle/internal/control"
+	"bendtrestle/internal/decide/recovery"
+	"bendtrestle/internal/discovery"
+	"bendtrestle/internal/operators"
+	"bendtrestle/internal/store"
+	"bendtrestle/logic"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// What is kept for the next process, and how old it may be to be used.
+const (
+	rateKept = "rate" // a hint: executions a second that servers finished here
+	listKept = "list" // a hint: the last list, for a start to which the platform gives none
+
+	rateOldest = 300.0 // seconds: traffic of some minutes ago is like today's; of hours ago it would have too much sent to cold servers
+	listOldest = 600.0 // seconds: an older list names servers that are long gone, and costs a client's try each
+	rateOver   = 10.0  // seconds over which the rate is reckoned: a burst is no rate
+	stepping   = 0.1   // seconds between two steps of a start
+	putting    = 2.0   // seconds between two rates that are kept
+)
+
+// recoveryWatch follows a start to full service, and keeps what helps the next. A nil one does nothing.
+type recoveryWatch struct {
+	s      *Service
+	start  *recovery.Start
+	store  *store.Store // nil: nothing is kept
+	rate   float64
+	done   uint64  // operations finished when the rate was last reckoned
+	at     float64 // when that was
+	put    float64
+	number uint64 // generation of what this process keeps
+}
+
+// openRecovery begins to follow this start. What was kept from before is read here, and used where it may still be believed.
+func (s *Service) openRecovery(f operators.File) {
+	w := &recoveryWatch{s: s, start: recovery.Begin(s.loop.Now()), at: s.loop.Now()}
+	s.recovery = w
+	base := store.Path(s.conf.Shared, s.conf.Listen)
+	if !f.Recovery.On {
+		return
+	}
+	if base == "" {
+		s.log.Warn().Msg("recovery is on, and there is no folder (TMPDIR) to keep anything in")
+		return
+	}
+	w.store = store.Open(base, s.conf.Listen, s.log)
+	now := s.loop.Now()
+	if e, there := w.store.Get(rateKept); there {
+		w.number = e.Generation
+		x, err := strconv.ParseFloat(string(e.Body), 64)
+		if ok := err == nil && x > 0 && !math.IsInf(x, 0) && recovery.Believe(e.At, now, rateOldest); ok {
+			s.conf.Settings.Flow, w.rate = x, x
+		}
+		s.log.Info().Float64("rate", x).Float64("age", now-e.At).Bool("used", s.conf.Settings.Flow > 0).Msg("kept from before")
+	}
+	if e, there := w.store.Get(listKept); there && len(s.conf.Known.Entries) == 0 && recovery.Believe(e.At, now, listOldest) && e.From == s.conf.Discovery {
+		var kept []keptServer
+		if err := cbor.Unmarshal(e.Body, &kept); err != nil {
+			s.log.Warn().Err(err).Msg("the list that was kept cannot be read")
+			return
+		}
+		s.conf.Known = discovery.List{Generation: e.Generation, Whole: true}
+		for _, k := range kept {
+			if entry, err := k.entry(); err == nil {
+				s.conf.Known.Entries = append(s.conf.Known.Entries, entry)
+			}
+		}
+		s.log.Info().Uint64("generation", e.Generation).Int("servers", len(kept)).Float64("age", now-e.At).Msg("the list of before is used until another comes")
+	}
+}
+
+// keptServer is a server of a list as it is kept.
+type keptServer struct {
+	Member logic.Member `cbor:"1,keyasint"`
+	Addr   string       `cbor:"2,keyasint"`
+}
+
+func (k keptServer) entry() (e discovery.Entry, err error) {
+	e.Member = k.Member
+	e.Addr, err = netip.ParseAddrPort(k.Addr)
+	return e, err
+}
+
+func (w *recoveryWatch) begin() { w.tick() }
+
+func (w *recoveryWatch) tick() {
+	if w.s.phase == Ended {
+		return
+	}
+	now, c := w.s.loop.Now(), w.s.platform.router.Counts
+	for _, x := range w.start.Tick(now, c.Taken, c.Finished) {
+		w.s.log.Info().Stringer("from", x.From).Stringer("to", x.To).Float64("after", now-w.s.began).Str("why", x.Why).Msg("start")
+	}
+	if passed := now - w.at; passed > 0 {
+		w.rate += (float64(c.Finished-w.done)/passed - w.rate) * (1 - math.Exp(-passed/rateOver))
+		w.done, w.at = c.Finished, now
+	}
+	if p, _, _ := w.start.Phase(); w.store != nil && p == recovery.Full && now-w.put > putting {
+		w.put = now
+		w.number++
+		w.store.Put(rateKept, store.Entry{Generation: w.number, At: now, From: "this router", Body: []byte(fmt.Sprintf("%.6g", w.usual(now)))})
+	}
+	if p, _, _ := w.start.Phase(); w.store != nil || p < recovery.Full { // else there is nothing left to do
+		w.s.loop.After(stepping, w.tick)
+	}
+}
+
+// usual is the rate as one that has run for long would have it: at first less time than it is reckoned over has passed.
+func (w *recoveryWatch) usual(now float64) float64 {
+	if w.s.conf.Settings.Flow > 0 {
+		return w.rate
+	}
+	return w.rate / (1 - math.Exp(-max(now-w.s.began, 1)/rateOver))
+}
+
+// listed takes the platform's list, confirmed where the list service has told it in this process's life.
+func (w *recoveryWatch) listed(p *pool, confirmed bool) {
+	if w == nil || p != w.s.platform {
+		return
+	}
+	ready := 0
+	var kept []keptServer
+	for _, e := range p.entries {
+		if e.Mode == logic.InService {
+			ready++
+		}
+		kept = append(kept, keptServer{e.Member, e.Addr.String()})
+	}
+	if w.start.Known(ready, confirmed); confirmed && w.store != nil {
+		if body, err := cbor.Marshal(kept); err == nil {
+			w.store.Put(listKept, store.Entry{Generation: p.told, At: w.s.loop.Now(), From: w.s.conf.Discovery, Body: body})
+		}
+	}
+}
+
+func (w *recoveryWatch) close() {
+	if w.store != nil {
+		w.store.Close(100 * time.Millisecond) // what is not written by then is a hint of the last second
+	}
+}
+
+// figures shows how far the start is.
+func (w *recoveryWatch) figures(say func(name string, value uint64)) {
+	p, _, full := w.start.Phase()
+	say("start_phase", uint64(p))
+	say("full_service_ms", uint64(full*1e3))
+	if w.store != nil {
+		c := w.store.Counts()
+		say("store_written", c.Written)
+		say("store_failed", c.Failed)
+		say("store_slowest_ms", uint64(c.Slowest*1e3))
+	}
+}
+
+// Status tells how far this start is, and what it waits for.
+func (d *desk) Status() (st control.Status, err error) {
+	err = d.do(func() error {
+		p, since, full := d.s.recovery.start.Phase()
+		st = control.Status{Phase: p.String(), For: d.s.loop.Now() - since, FullService: full, Waits: p.Waits(), Taking: d.s.taking()}
+		return nil
+	})
+	return st, err
+}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -74,6 +74,7 @@
 	loaded    uint64 // configurations that were taken, the first one too
 	invalid   uint64 // that were not
 	sent      uint64 // executions written to servers of pools that are gone
+	recovery  *recoveryWatch
 	bans      *handover.Bans
 	zones     *zoneWatch            // nil: zones are not left as one
 	out       map[string]bool       // cache servers that operators took out
@@ -171,7 +172,9 @@
 			s.log.Warn().Err(err).Msg("no peers")
 		}
 	}
+	s.openRecovery(set.Operators)
 	s.openZones(set.Operators)
+	c.Settings.Flow = s.conf.Settings.Flow
 	c.Settings.Ordered = false // answers come in the order of a connection, but each execution has one of its own
 	c.Settings.Apart = len(set.Operators.Teams) > 0
 	s.platform = s.newPool("", c.Settings, c.Caches, c.ConnectTimeout, stall(c.ConnectTimeout), c.ConnIdle, c.PerConnection, caches.Memcache)
@@ -187,6 +190,7 @@
 	s.platform.follow(c.Discovery)
 	s.contract(set)
 	s.zones.begin()
+	s.recovery.begin()
 	s.loop.After(counting, s.count)
 	if c.Ops != "" {
 		s.desk = &desk{s: s}
@@ -270,6 +274,7 @@
 		}
 		s.bans.Close()
 		s.zones.close()
+		s.recovery.close()
 		s.part()
 		s.platform.stop()
 		for _, p := range s.pools {
--- a/internal/standin/serverconn.go
+++ b/internal/standin/serverconn.go
@@ -42,6 +42,9 @@
 	if c.speech = (&memcacheSpeech{c: c}); s.f.tiles != nil {
 		c.speech = &tileSpeech{c: c}
 	}
+	if len(s.f.book.Accepts) < bookBound {
+		s.f.book.Accepts = append(s.f.book.Accepts, Accept{At: s.f.loop.Now(), Server: s})
+	}
 	c.surplus = s.Connections > 0 && len(s.conns) >= s.Connections
 	s.conns[c] = true
 	return c
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -89,6 +89,7 @@
 	Executions []*Execution
 	Probes     int
 	Fetches    []Fetch
+	Accepts    []Accept
 	Falls      []Fall
 	Halts      []Halt
 	Overflow   bool // there was more than the book holds: the run is void
@@ -104,6 +105,12 @@
 	Write  bool // a write passed on, not a read
 }
 
+// Accept is a connection that a cache server took.
+type Accept struct {
+	At     float64
+	Server *Server
+}
+
 // Fall is a cold cache server that was pushed over.
 type Fall struct {
 	At     float64
@@ -120,6 +127,7 @@
 func (b *Book) Join(o *Book) {
 	b.Executions = append(b.Executions, o.Executions...)
 	b.Fetches = append(b.Fetches, o.Fetches...)
+	b.Accepts = append(b.Accepts, o.Accepts...)
 	b.Falls = append(b.Falls, o.Falls...)
 	b.Halts = append(b.Halts, o.Halts...)
 	b.Probes += o.Probes
--- a/logic/host.go
+++ b/logic/host.go
@@ -165,6 +165,7 @@
 	StampError     float64 // by which Member.Started may be off, in either direction
 	TrafficTypes   []TrafficType
 	Tenants        []Tenant
+	Flow           float64 // executions a second that caches finished of late, before this process; 0: not known
 }
 
 // The records that the module keeps.
@@ -182,6 +183,7 @@
 	quotas       float64            // of all tenants
 	servers      map[uint64]*server // every server that a list has named
 	ready        []*server          // the caches in service, by id
+	cold         bool               // none of them was warm when they were last set up
 	origins      []*server          // the origin's servers in service, by id
 	left         map[string]float64 // the part of its keys that a zone does not serve now
 	size         float64            // the mean of theirs
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -73,8 +73,8 @@
 // New starts an instance.
 func New(now float64, set Settings, host Host) *Router {
 	r := &Router{host: host, set: set, now: now, rows: map[string]*row{}, tenants: map[string]*tenant{},
-		servers: map[uint64]*server{}, ops: map[uint64]*operation{}, flowAt: now, began: now, voice: 1, taken: 0.5,
-		purses: map[string]*float64{}, left: map[string]float64{}}
+		servers: map[uint64]*server{}, ops: map[uint64]*operation{}, flow: set.Flow, flowAt: now, taken: 0.5,
+		began: now - 1e3*min(set.Flow, 1), voice: 1, purses: map[string]*float64{}, left: map[string]float64{}}
 	r.set.Routers = max(1, set.Routers)
 	r.Offer(set.TrafficTypes)
 	for _, t := range set.Tenants {
@@ -216,13 +216,13 @@
 
 // regroup sets up the ready caches after a change of membership.
 func (r *Router) regroup() {
-	r.ready, r.origins, r.points, r.size = nil, nil, nil, 0
+	r.ready, r.origins, r.points, r.size, r.cold = nil, nil, nil, 0, true
 	largest := 0.0
 	for _, s := range r.servers {
 		if s.Mode == InService && !s.barred && r.isOrigin(s) {
 			r.origins = append(r.origins, s)
 		} else if s.Mode == InService && !s.barred {
-			r.ready, largest = append(r.ready, s), max(largest, s.size)
+			r.ready, largest, r.cold = append(r.ready, s), max(largest, s.size), r.cold && r.warmth(s) < 1
 		}
 	}
 	byID := func(a, b *server) int { return cmp.Compare(a.ID, b.ID) }
@@ -280,7 +280,7 @@
 // nearest is the design's pick: of the caches that pass the one most similar to the key; ties go by a hash.
 func (r *Router) nearest(hash uint32, pass func(*server) bool) (best *server) {
 	tie, far, near, taken := uint32(0), 0, []point(nil), r.taken
-	if r.loadAt > 0 && r.now-r.loadAt < 1 {
+	if r.loadAt > 0 && r.now-r.loadAt < 1 || r.cold { // no warm one sheds
 		taken = 1
 	}
 	for i := range r.points {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -1027,3 +1027,31 @@
 		t.Error("what was withdrawn did not go elsewhere")
 	}
 }
+
+// Where every cache is cold none sheds to another: what is declined meanwhile does not close their slices, and what caches finished
+// before this process tells what they bear. Without it they were used only once they were warm.
+func TestAllCold(t *testing.T) {
+	for flow, least := range map[float64]int{0: 1, 60: 40} {
+		r, _ := fleet(0, func(s *Settings) { s.Flow, s.Seed = flow, 9 })
+		var all []Member
+		for i := range 6 {
+			all = append(all, Member{ID: uint64(i + 1), Mode: InService, Zone: "a", Started: 0.5})
+		}
+		r.Listed(1, Snapshot, all)
+		sent := 0
+		for n := range 400 { // 100 a second, for four of the twenty seconds that they take to be warm
+			now, id := 1+float64(n)/100, uint64(n)
+			r.Arrived(now, id, "view", "", fmt.Sprint("key-", n), 2)
+			if op := r.ops[id]; op != nil && len(op.executions) > 0 {
+				sent++
+				r.Settled(now+0.01, id, 0, Finished, 0.01, true)
+			}
+		}
+		if sent < least {
+			t.Errorf("of 400 operations %d were sent, with %v a second known from before; want %d at least", sent, flow, least)
+		}
+		if r.taken < 1e-3 && sent == 0 {
+			t.Error("the slices have closed")
+		}
+	}
+}
