--- a/internal/lab/cause.go
+++ b/internal/lab/cause.go
@@ -292,6 +292,10 @@
 	for _, t := range w.types {
 		longest = max(longest, t.HardStop)
 	}
+	if strings.HasPrefix(f.Kind, "state-") {
+		w.causeAtState(f, hit, halt)
+		return
+	}
 	if f.Kind == "router-stop" {
 		w.causeStop(f, hit, halt)
 		return
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -437,6 +437,9 @@
 	"router-kill":    {on: "router"},
 	"router-restart": {on: "router", keeps: true},
 	"router-stop":    {on: "router"},
+	"state-lost":     {on: "router", keeps: true},
+	"state-old":      {on: "router"},
+	"state-damaged":  {on: "router", keeps: true},
 	"part":           {on: "part"},
 	"part-one-way":   {on: "part"},
 	"conns-late":     {on: "part", needs: "delay", least: 0, most: 60},
@@ -479,6 +482,9 @@
 	} else if f.From != "" || f.What != nil {
 		s.file.Fault(key+".from", "%s has neither from nor what", f.Kind)
 	}
+	if strings.HasPrefix(f.Kind, "state-") && !s.Routers.Folders {
+		s.file.Fault(key+".kind", "%s needs routers.folders", f.Kind)
+	}
 	if f.Pool != "" && (!slices.Contains([]string{"server", "list", "ledger"}, k.on) && f.Kind != "grow" || s.pool(f.Pool) == nil) {
 		s.file.Fault(key+".pool", "%q is not a pool, or this fault has none", f.Pool)
 		return
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -1038,6 +1038,9 @@
 			all = append(all, Member{ID: uint64(i + 1), Mode: InService, Zone: "a", Started: 0.5})
 		}
 		r.Listed(1, Snapshot, all)
+		if got := r.finishing(); math.Abs(got-flow) > flow/10 {
+			t.Errorf("%v a second are taken to finish, known is %v", got, flow)
+		}
 		sent := 0
 		for n := range 400 { // 100 a second, for four of the twenty seconds that they take to be warm
 			now, id := 1+float64(n)/100, uint64(n)
@@ -1055,3 +1058,17 @@
 		}
 	}
 }
+
+// A zone's share is of caches: what the origin's servers in a zone that is left work on goes on.
+func TestZonedLeavesTheOrigin(t *testing.T) {
+	r, did := fleet(3, func(s *Settings) { s.Aside, s.OriginKind = true, "origin" })
+	r.Listed(0, Diff, []Member{{ID: 9, Mode: InService, Zone: "b", Kind: "origin"}})
+	r.Arrived(1, 1, "view", "", "key", 2)
+	r.Settled(1.01, 1, 0, NotStored, 0.01, false)
+	if did.last() != "execute 1 on 9" {
+		t.Fatalf("did %v, want a fetch", did.did)
+	}
+	if r.Zoned(1.02, "b", 0); did.last() != "execute 1 on 9" {
+		t.Errorf("did %q", did.last())
+	}
+}
