Wait until a relay's listener is closed indeed before its address is taken again

Seen: one of three runs of internal/lab/together beside a busy machine failed: a relay that healed could not listen, the address was in use, and a zone stayed cut off. Ruled out: another process's address (they are reserved). Cause: relay/conns.go, attend: Close of a listener in whose Accept a goroutine waits frees the address only when that has run. Change: it waits for that goroutine.

--- a/internal/lab/relay/conns.go
+++ b/internal/lab/relay/conns.go
@@ -20,7 +20,8 @@
 	addr, real  string
 	mu          sync.Mutex
 	ln          net.Listener
-	silent      func() // while it is cut off
+	accepting   chan struct{} // closed once the listener is closed indeed
+	silent      func()        // while it is cut off
 	carried     map[*carried]bool
 	there, back Effect
 	down        bool // the real end refuses
@@ -55,35 +56,42 @@
 	switch {
 	case c.over || closed:
 	case cut && c.silent == nil:
-		if c.ln != nil {
-			c.ln.Close()
-			c.ln = nil
+		c.shut()
+		if c.silent, err = standin.BeSilent(c.addr); err != nil {
+			c.silent = nil
 		}
-		c.silent, err = standin.BeSilent(c.addr)
 	case !cut && c.down:
 		if c.silent != nil {
 			c.silent()
 			c.silent = nil
 		}
-		if c.ln != nil {
-			c.ln.Close()
-			c.ln = nil
-		}
+		c.shut()
 	case !cut && c.ln == nil:
 		if c.silent != nil {
 			c.silent()
 			c.silent = nil
 		}
 		if c.ln, err = net.Listen("tcp4", c.addr); err == nil {
+			c.accepting = make(chan struct{})
 			c.n.wg.Add(1)
-			go c.accept(c.ln)
+			go c.accept(c.ln, c.accepting)
 		}
 	}
 	return err
 }
 
-func (c *connRelay) accept(ln net.Listener) {
+// shut closes the listener, and waits until its address is free: a call that accepts holds it for a moment longer. The relay is locked.
+func (c *connRelay) shut() {
+	if c.ln != nil {
+		c.ln.Close()
+		<-c.accepting
+		c.ln = nil
+	}
+}
+
+func (c *connRelay) accept(ln net.Listener, over chan struct{}) {
 	defer c.n.wg.Done()
+	defer close(over)
 	for {
 		client, err := ln.Accept()
 		if err != nil {
