Have a relay try its address again while a process being started holds it

Seen: one of 21 runs of internal/lab/together, three at once: a relay that was to fall silent could not take its address. Ruled out: its own listener, which is waited for. Cause: a router that another test starts at that moment holds all sockets between its fork and its exec (conns.go, attend). Change: the address is tried again for 0.3 s. The router's program is the same to the byte.

--- a/internal/lab/relay/conns.go
+++ b/internal/lab/relay/conns.go
@@ -60,6 +60,12 @@
 		if c.silent, err = standin.BeSilent(c.addr); err != nil {
 			c.silent = nil
 		}
+		for try := 0; err != nil && try < taken; try++ {
+			time.Sleep(again)
+			if c.silent, err = standin.BeSilent(c.addr); err != nil {
+				c.silent = nil
+			}
+		}
 	case !cut && c.down:
 		if c.silent != nil {
 			c.silent()
@@ -71,7 +77,12 @@
 			c.silent()
 			c.silent = nil
 		}
-		if c.ln, err = net.Listen("tcp4", c.addr); err == nil {
+		c.ln, err = net.Listen("tcp4", c.addr)
+		for try := 0; err != nil && try < taken; try++ {
+			time.Sleep(again)
+			c.ln, err = net.Listen("tcp4", c.addr)
+		}
+		if err == nil {
 			c.accepting = make(chan struct{})
 			c.n.wg.Add(1)
 			go c.accept(c.ln, c.accepting)
@@ -102,6 +113,9 @@
 	}
 }
 
+// taken is how often an address is tried again: a process that the lab just starts holds all sockets between its fork and its exec.
+const taken = 30
+
 const (
 	again    = 10 * time.Millisecond // between two looks whether a real end takes connections again
 	reaching = 50 * time.Millisecond // on this machine one comes up far sooner, or not at all
