--- a/cmd/bendtrestle/main.go
+++ b/cmd/bendtrestle/main.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"bendtrestle/internal/config"
+	"bendtrestle/internal/decide/recovery"
 	"bendtrestle/internal/operators"
 	"bendtrestle/internal/router"
 	"bendtrestle/internal/service"
@@ -126,6 +127,18 @@
 	for _, s := range theirs.Settings() {
 		fmt.Fprintf(w, "%s\t%s\t%s\n", s.Key, s.Value, s.From)
 	}
+	if theirs.Recovery.On {
+		w.Flush()
+		fmt.Fprintln(out)
+		fmt.Fprintln(w, "KEPT FOR THE NEXT PROCESS\tRULE\tUSED FOR\tUNTIL SOMETHING NEWER")
+		for _, k := range recovery.Kinds {
+			age := "any time"
+			if k.Oldest > 0 {
+				age = fmt.Sprintf("%v s", k.Oldest)
+			}
+			fmt.Fprintf(w, "%s: %s\t%s\t%s\t%s\n", k.Name, k.What, k.Rule, age, k.Until)
+		}
+	}
 	if rows := theirs.Table(); rows != nil {
 		w.Flush()
 		fmt.Fprintln(out)
--- a/internal/decide/recovery/recovery.go
+++ b/internal/decide/recovery/recovery.go
@@ -4,7 +4,7 @@
 
 import (
 	"fmt"
-	"math"
+	"slices"
 )
 
 // Phase is a named part of a router's way to full service.
@@ -103,9 +103,38 @@
 	return all
 }
 
-// Believe tells whether what was kept at a time, by this machine's clock, may still be used, at most so old. A clock that went back
-// makes it of the future: then nothing is known of its age, and it is not used.
-func Believe(at, now, oldest float64) bool {
+// Kind is something that outlives a process, and what may be made of it.
+type Kind struct {
+	Name   string
+	What   string
+	Rule   string  // binding: never undone by something older; or a hint
+	Oldest float64 // seconds after which it is not used; 0: it has no age
+	Until  string  // what is done until something newer proves or overrules it
+}
+
+// The kinds that are kept.
+const (
+	Rate = "rate"
+	List = "list"
+	Out  = "out"
+)
+
+// Kinds is all that is kept. What two processes could both believe to be theirs, as operations and connections, never is.
+var Kinds = []Kind{
+	// Traffic of some minutes ago is like today's; that of hours ago would have too much sent to cold servers.
+	{Rate, "executions a second that servers finished here", "hint", 300, "it allows cold servers work; what finishes now takes its place over the warm-up"},
+	// An older list names servers that are long gone, each of which costs a client's try.
+	{List, "the last list, where the platform gives none", "hint", 600, "its servers are used as if they had just started: which have, it cannot tell (rule 4)"},
+	{Out, "servers and zones out by hand", "binding", 0, "held as they stand, in files of their own"},
+}
+
+// Believe tells whether something kept at a time, by this machine's clock, may still be used. A clock that went back makes it of the
+// future: then nothing is known of its age, and it is not used.
+func Believe(kind string, at, now float64) bool {
+	i := slices.IndexFunc(Kinds, func(k Kind) bool { return k.Name == kind })
+	if i < 0 {
+		return false
+	}
 	age := now - at
-	return age >= 0 && age <= oldest && !math.IsNaN(age)
+	return Kinds[i].Oldest == 0 || age >= 0 && age <= Kinds[i].Oldest
 }
--- a/internal/decide/recovery/recovery_test.go
+++ b/internal/decide/recovery/recovery_test.go
@@ -1,6 +1,9 @@
 package recovery
 
-import "testing"
+import (
+	"math"
+	"testing"
+)
 
 // A start goes through its phases in order, is in full service once a whole second was served as usual and the list is confirmed, and
 // does not go back.
@@ -43,11 +46,12 @@
 
 func TestBelieve(t *testing.T) {
 	for _, c := range []struct {
+		kind    string
 		at, now float64
 		want    bool
-	}{{100, 110, true}, {100, 161, false}, {100, 99, false}} {
-		if got := Believe(c.at, c.now, 60); got != c.want {
-			t.Errorf("of %v at %v: %t", c.at, c.now, got)
+	}{{Rate, 100, 110, true}, {Rate, 100, 401, false}, {Rate, 100, 99, false}, {Rate, math.NaN(), 99, false}, {List, 100, 401, true}, {Out, 100, 9, true}, {"none", 1, 1, false}} {
+		if got := Believe(c.kind, c.at, c.now); got != c.want {
+			t.Errorf("%s of %v at %v: %t", c.kind, c.at, c.now, got)
 		}
 	}
 }
--- a/internal/decide/zones/helpers_test.go
+++ b/internal/decide/zones/helpers_test.go
@@ -27,6 +27,8 @@
 	slow    map[string]bool
 	full    map[string]bool
 	words   int
+	servers int     // of each zone
+	skew    float64 // seconds by which each router's clock is ahead of the one before
 	log     []string
 }
 
@@ -45,7 +47,7 @@
 }
 
 func build(t *testing.T, routers int, names ...string) *world {
-	w := &world{t: t, now: 1000, chance: rand.New(rand.NewPCG(1, 2)), names: names, up: map[string]float64{}, down: map[int]bool{}, stopped: map[int]bool{}, rate: 27,
+	w := &world{t: t, servers: 4, now: 1000, chance: rand.New(rand.NewPCG(1, 2)), names: names, up: map[string]float64{}, down: map[int]bool{}, stopped: map[int]bool{}, rate: 27,
 		delay: 0.002, burnt: map[string]int{}, slow: map[string]bool{}, full: map[string]bool{}, reaches: func(int, string) bool { return true },
 		hears: func(int, int) bool { return true }}
 	w.fleets = make([]*Fleet, routers)
@@ -58,14 +60,17 @@
 	return w
 }
 
+// at is a router's own time.
+func (w *world) at(router int) float64 { return w.now + w.skew*float64(router) }
+
 // start begins a router's process anew.
 func (w *world) start(n int, life uint16, regions [][]string) {
 	f := New(Settings{Me: n, Routers: len(w.fleets), Life: life, WarmWithin: 6, Regions: regions})
 	servers := map[string]int{}
 	for _, name := range w.names {
-		servers[name] = 4
+		servers[name] = w.servers
 	}
-	f.Listed(w.now, servers, nil)
+	f.Listed(w.at(n), servers, nil)
 	w.fleets[n] = f
 	delete(w.down, n)
 }
@@ -74,12 +79,12 @@
 	for end := w.now + seconds; w.now < end; w.now += 0.01 {
 		for _, x := range take(&w.open, func(x exec) bool { return x.at <= w.now }) {
 			if !w.down[x.router] {
-				w.fleets[x.router].Ended(w.now, x.zone, x.mark, x.how)
+				w.fleets[x.router].Ended(w.at(x.router), x.zone, x.mark, x.how)
 			}
 		}
 		for _, l := range take(&w.mail, func(l letter) bool { return l.at <= w.now && !w.stopped[l.to] }) {
 			if !w.down[l.to] {
-				w.fleets[l.to].Heard(w.now, l.text)
+				w.fleets[l.to].Heard(w.at(l.to), l.text)
 			}
 		}
 		for n, f := range w.fleets {
@@ -90,12 +95,12 @@
 				w.send(n, f)
 			}
 			if int(w.now*100+0.5)%5 == 0 {
-				f.Tick(w.now)
+				f.Tick(w.at(n))
 			}
 			for _, c := range f.Changes() {
 				w.log = append(w.log, fmt.Sprintf("%7.2f router %d %s: %v to %v, %.3f, %s", w.now-1000, n, c.Zone, c.From, c.To, c.Share, c.Why))
 			}
-			for _, text := range f.Say(w.now) {
+			if text := f.Say(w.at(n)); text != nil {
 				w.words++
 				for to := range w.fleets {
 					if to != n && w.hears(n, to) && w.chance.Float64() >= w.loss {
@@ -112,7 +117,7 @@
 	if w.chance.Float64() >= f.Share(zone) {
 		return
 	}
-	x := exec{at: w.now + 0.02, router: n, zone: zone, mark: f.Began(w.now, zone, 0.15)}
+	x := exec{at: w.now + 0.02, router: n, zone: zone, mark: f.Began(w.at(n), zone, 0.15)}
 	if w.slow[zone] {
 		x.at, x.how = w.now+0.3, Late
 	}
--- a/internal/decide/zones/orders_test.go
+++ b/internal/decide/zones/orders_test.go
@@ -118,14 +118,14 @@
 	for _, f := range s.fleets {
 		for _, name := range f.names {
 			z := f.find(name)
-			text += fmt.Sprint(z.state, z.share, age(z.ok), age(z.bad), age(z.enough), age(z.left), age(z.stepped), z.good, z.poor, z.fresh, ";")
+			text += fmt.Sprint(z.state, z.share, age(z.ok), age(z.bad), age(z.enough), age(z.left), age(z.stepped), z.good, z.poor, z.fresh, z.owed, age(z.said), ";")
 			for _, n := range slices.Sorted(maps.Keys(f.peers)) {
 				p := f.peers[n]
 				x := p.said[z.sum]
 				text += fmt.Sprint(age(p.at), x.state, x.share, age(x.ok), age(x.bad), p.cut, ",")
 			}
 		}
-		text += fmt.Sprint(f.news, f.met, age(f.told), int(f.purse*10))
+		text += fmt.Sprint(f.met, age(f.told), int(f.purse*10))
 	}
 	for from := range 3 {
 		for to := range 3 {
@@ -162,7 +162,7 @@
 		c.now += 0.11
 		for n, f := range c.fleets {
 			f.Tick(c.now)
-			for _, text := range f.Say(c.now) {
+			if text := f.Say(c.now); text != nil {
 				for to := range c.fleets {
 					if to != n {
 						c.mail[[2]int{n, to}] = text
--- a/internal/decide/zones/words.go
+++ b/internal/decide/zones/words.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"hash/crc32"
+	"maps"
 	"math"
 	"slices"
 )
@@ -49,8 +50,8 @@
 
 const pause = 0.04 // seconds between two words with news: what happens in one tick is told together
 
-// Say gives the words to be sent now; nil: there are none.
-func (f *Fleet) Say(now float64) (all [][]byte) {
+// Say gives the words to be sent now; nil: there are none. One message holds what is most needed; the rest is told in its turn.
+func (f *Fleet) Say(now float64) []byte {
 	if f.set.Routers < 2 || len(f.zones) == 0 {
 		return nil
 	}
@@ -61,32 +62,26 @@
 		}
 		f.purse--
 	}
-	f.told, f.news, f.met = now, max(0, f.news-1), false
-	var zones []*zone
-	for _, z := range f.zones {
-		z.fresh = false
-		zones = append(zones, z)
-	}
-	slices.SortFunc(zones, byAge)
-	for len(zones) > 0 {
-		n := min(len(zones), perWord)
-		all = append(all, f.words(now, zones[:n]))
-		zones = zones[n:]
+	f.told, f.met = now, false
+	zones := slices.SortedFunc(maps.Values(f.zones), byNeed)
+	zones = zones[:min(len(zones), perWord)]
+	for _, z := range zones {
+		z.fresh, z.owed, z.said = false, max(0, z.owed-1), now
 	}
-	f.Words += uint64(len(all))
-	return all
+	f.Words++
+	return f.words(now, zones)
 }
 
 // urgent tells whether others have to know something now: of this router's own, or against what they say.
 func (f *Fleet) urgent(now float64) bool {
-	if f.news > 0 || f.met {
+	if f.met {
 		return true
 	}
 	for _, z := range f.zones {
-		if z.fresh && z.state != Left {
+		if z.owed > 0 || z.fresh && z.state != Left {
 			return true
 		}
-		if z.ok <= f.told { // what it had before, others know
+		if z.ok <= z.said { // what it had before, others know
 			continue
 		}
 		for _, p := range f.peers {
--- a/internal/decide/zones/zones.go
+++ b/internal/decide/zones/zones.go
@@ -108,7 +108,9 @@
 	poor    int     // those since then that tell of strain
 	before  [2]int  // good and poor of the step before, as others are told
 	again   float64 // when it began to return last: what is said of the time before is over
-	fresh   bool    // it has begun to fail since words were last sent
+	fresh   bool    // it has begun to fail since words last told of it
+	owed    int     // words that are to tell of what became of it
+	said    float64 // when words last told of it
 	moves   uint64
 }
 
@@ -125,7 +127,6 @@
 	marks   uint64
 	watched int
 	ticked  float64
-	news    int     // words that are due at once
 	purse   float64 // words that may be sent before their time
 	deaf    float64 // words are not listened to until then
 	told    float64 // when words were last sent
@@ -138,7 +139,7 @@
 // New makes one that knows no zone.
 func New(set Settings) *Fleet {
 	set.Routers = max(1, set.Routers)
-	f := &Fleet{set: set, zones: map[uint32]*zone{}, peers: map[int]*peer{}, marker: markers[0], news: 1}
+	f := &Fleet{set: set, zones: map[uint32]*zone{}, peers: map[int]*peer{}, marker: markers[0], met: true}
 	f.Regions(set.Regions)
 	return f
 }
@@ -156,8 +157,8 @@
 // Sum is a zone's name in words.
 func Sum(name string) uint32 { return crc32.ChecksumIEEE([]byte(name)) & 0xffffff }
 
-// Listed takes how many servers each zone has in service, and which 16-bit ends of servers' ids there are. Two zones whose
-// names have the same sum are taken for one: both are never left, and the second is named.
+// Listed takes how many servers each zone has in service, and which 16-bit ends of servers' ids there are. Of two zones
+// whose names have the same sum the second by name is told: nothing is decided of it, as words cannot tell it from the first.
 func (f *Fleet) Listed(now float64, servers map[string]int, ids map[uint16]bool) (twins []string) {
 	for _, z := range f.zones {
 		z.servers = 0
@@ -279,7 +280,6 @@
 	default:
 		f.move(now, z, Returning, first, "by hand")
 	}
-	f.news = 2
 	return true
 }
 
@@ -290,7 +290,6 @@
 		return false
 	}
 	f.move(now, z, Returning, first, "by hand")
-	f.news = 2
 	return true
 }
 
@@ -334,11 +333,13 @@
 	switch {
 	case to == Left && z.state != Tried:
 		z.left, z.enough, z.moves = now, 0, z.moves+1
-		f.news = 2 // twice: what is lost of a word is lost by chance
+		z.owed = 2 // twice: what is lost of a word is lost by chance
 	case to == Returning && z.state != Returning:
 		z.bad, z.again, z.moves = 0, now, z.moves+1
 		z.good, z.poor = 0, 0 // what was lost before is no strain of the return
-		f.news = 2
+		z.owed = 2
+	case to == Returning:
+		z.owed = max(z.owed, 1)
 	case to == Well && z.state == Returning:
 		z.back = now
 	}
@@ -421,7 +422,7 @@
 	for _, p := range f.peers {
 		p.at = math.Inf(-1)
 	}
-	f.news, f.met, f.deaf = 2, true, now+draining
+	f.met, f.deaf = true, now+draining
 }
 
 const (
@@ -570,7 +571,7 @@
 		}
 		v := f.weigh(now, z)
 		enough := f.quorum(v.known)
-		if z.times > 0 && now-z.back < forgiven { // it has failed of late
+		if z.times > 0 && (z.state == Returning || now-z.back < forgiven) { // it has failed of late
 			enough = min(2, f.set.Routers)
 		}
 		// Routers that had an answer later speak for it: an eighth as many as those without outweigh them, so that a zone
@@ -734,16 +735,18 @@
 		return
 	}
 	f.move(now, z, Returning, share, why)
-	f.news = max(f.news, 1)
 }
 
-// byAge orders zones for words: what is not as usual goes first.
-func byAge(a, b *zone) int {
-	usual := func(z *zone) int {
-		if z.state == Well && z.bad == 0 {
+// byNeed orders zones for words: what others have to hear, what is not as usual, and what was told of longest ago.
+func byNeed(a, b *zone) int {
+	need := func(z *zone) int {
+		switch {
+		case z.owed > 0 || z.fresh:
+			return 0
+		case z.state != Well || z.bad > 0:
 			return 1
 		}
-		return 0
+		return 2
 	}
-	return cmp.Or(cmp.Compare(usual(a), usual(b)), cmp.Compare(a.name, b.name))
+	return cmp.Or(cmp.Compare(need(a), need(b)), cmp.Compare(a.said, b.said), cmp.Compare(a.name, b.name))
 }
--- a/internal/decide/zones/zones_test.go
+++ b/internal/decide/zones/zones_test.go
@@ -87,6 +87,24 @@
 		}, func(w *world) {
 			w.reaches, w.hears = func(int, string) bool { return true }, func(int, int) bool { return true }
 		}, 1.5},
+		"clocks are off by minutes": {func(w *world) {
+			for n := range w.fleets {
+				w.skew = 60
+				w.start(n, 2, nil)
+			}
+			w.up["b"] = 1
+			w.run(3)
+			w.up["b"] = 0
+		}, nil, 1.5},
+		"each zone has one server": {func(w *world) {
+			w.servers = 1
+			for n := range w.fleets {
+				w.start(n, 2, nil)
+			}
+			w.up["b"] = 1
+			w.run(3)
+			w.up["b"] = 0
+		}, nil, 1.5},
 		"half of the builds do not know zones": {func(w *world) { w.hears = func(from, _ int) bool { return from%2 == 0 } }, nil, 2.5},
 	} {
 		t.Run(what, func(t *testing.T) {
@@ -210,7 +228,6 @@
 	w := build(t, 2, "a", "b")
 	w.run(2)
 	a, b := w.fleets[0], w.fleets[1]
-	a.news = 1
 	first := a.words(w.now, []*zone{a.find("a")})
 	second := a.words(w.now, []*zone{a.find("a")})
 	if !b.Heard(w.now, second) || !b.Heard(w.now, first) || b.peers[0].number != a.number {
@@ -357,3 +374,64 @@
 	w.hears = func(from, to int) bool { return true }
 	w.until("full", 1.8, full("b"))
 }
+
+// More zones than a message holds are told in turn, one message at a time, and what others have to hear first.
+func TestManyZones(t *testing.T) {
+	var names []string
+	for n := range 3 * perWord {
+		names = append(names, fmt.Sprintf("zone-%02d", n))
+	}
+	w := build(t, 8, names...)
+	w.rate = 300
+	w.run(5)
+	if most := 8 * (5/w.fleets[0].period() + mostUrgent); float64(w.words) > 1.5*most {
+		t.Errorf("%d words in 5 s of calm, want some %.0f", w.words, most)
+	}
+	last := names[len(names)-1]
+	w.up[last] = 0
+	w.until("left", 1.5, left(last))
+	w.up[last] = 1
+	w.until("full", 6, full(last))
+}
+
+// What one router's list says is gone, while others have answers there, is no vote against it, and it comes back with the list.
+func TestListSaysGone(t *testing.T) {
+	w := build(t, 6, "a", "b")
+	w.run(2)
+	for n := range 3 {
+		w.fleets[n].Listed(w.now, map[string]int{"a": 4}, nil)
+	}
+	w.run(3)
+	w.stays("b")
+	for n := range 3 {
+		w.fleets[n].Listed(w.now, map[string]int{"a": 4, "b": 4}, nil)
+	}
+	w.run(1)
+	w.stays("b")
+	for _, f := range w.fleets {
+		for _, s := range f.States(w.now) {
+			if s.Against > 0 {
+				t.Errorf("%d against %s", s.Against, s.Zone)
+			}
+		}
+	}
+}
+
+// A zone that fails again while it returns is left on the word of two, not of a quarter.
+func TestFailsAgainOnReturn(t *testing.T) {
+	w := build(t, 24, "a", "b", "c", "d")
+	w.run(3)
+	w.up["b"] = 0
+	w.until("left", 1, left("b"))
+	w.up["b"] = 1
+	w.until("its return begins", 2, func(f *Fleet) bool { return f.find("b").state == Returning })
+	w.reaches = func(n int, z string) bool { return n >= 3 || z != "b" }
+	for _, f := range w.fleets[:3] { // three of 24 miss answers, nobody else had one since
+		f.find("b").ok, f.find("b").bad = 0, w.now+0.01
+	}
+	for _, f := range w.fleets[3:] {
+		f.find("b").ok = 0
+	}
+	w.rate = 0
+	w.until("left again", 0.8, left("b"))
+}
--- a/internal/handover/bans.go
+++ b/internal/handover/bans.go
@@ -60,6 +60,13 @@
 	return b, slices.Clone(b.ids)
 }
 
+// IDs gives what is out, as it is written down.
+func (b *Bans) IDs() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.Clone(b.ids)
+}
+
 // Close ends the looking.
 func (b *Bans) Close() { close(b.ended) }
 
--- a/internal/lab/relay/conns.go
+++ b/internal/lab/relay/conns.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"maps"
 	"net"
 	"slices"
 	"sync"
@@ -57,31 +58,22 @@
 	case c.over || closed:
 	case cut && c.silent == nil:
 		c.shut()
-		if c.silent, err = standin.BeSilent(c.addr); err != nil {
-			c.silent = nil
-		}
-		for try := 0; err != nil && try < taken; try++ {
-			time.Sleep(again)
-			if c.silent, err = standin.BeSilent(c.addr); err != nil {
-				c.silent = nil
+		err = take(func() (err error) {
+			end, err := standin.BeSilent(c.addr)
+			if err == nil {
+				c.silent = end
 			}
-		}
+			return err
+		})
 	case !cut && c.down:
-		if c.silent != nil {
-			c.silent()
-			c.silent = nil
-		}
+		c.speak()
 		c.shut()
 	case !cut && c.ln == nil:
-		if c.silent != nil {
-			c.silent()
-			c.silent = nil
-		}
-		c.ln, err = net.Listen("tcp4", c.addr)
-		for try := 0; err != nil && try < taken; try++ {
-			time.Sleep(again)
+		c.speak()
+		err = take(func() (err error) {
 			c.ln, err = net.Listen("tcp4", c.addr)
-		}
+			return err
+		})
 		if err == nil {
 			c.accepting = make(chan struct{})
 			c.n.wg.Add(1)
@@ -91,6 +83,25 @@
 	return err
 }
 
+// take tries for an address: a process that the lab just starts holds all sockets between its fork and its exec.
+func take(address func() error) (err error) {
+	for range 30 {
+		if err = address(); err == nil {
+			break
+		}
+		time.Sleep(again)
+	}
+	return err
+}
+
+// speak ends the silence. The relay is locked.
+func (c *connRelay) speak() {
+	if c.silent != nil {
+		c.silent()
+		c.silent = nil
+	}
+}
+
 // shut closes the listener, and waits until its address is free: a call that accepts holds it for a moment longer. The relay is locked.
 func (c *connRelay) shut() {
 	if c.ln != nil {
@@ -113,9 +124,6 @@
 	}
 }
 
-// taken is how often an address is tried again: a process that the lab just starts holds all sockets between its fork and its exec.
-const taken = 30
-
 const (
 	again    = 10 * time.Millisecond // between two looks whether a real end takes connections again
 	reaching = 50 * time.Millisecond // on this machine one comes up far sooner, or not at all
@@ -123,13 +131,14 @@
 
 // follow refuses connections, or lets none come up, as the real end does, until that takes them again.
 func (c *connRelay) follow(err error) {
-	stands := func(err error) bool {
+	stands := func(err error) (still, other bool) {
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		timeout, is := err.(net.Error)
+		before := c.mute
 		c.mute = err != nil && is && timeout.Timeout()
 		c.down = err != nil && !c.mute
-		return err != nil && !c.over
+		return err != nil && !c.over, before != c.mute
 	}
 	c.mu.Lock()
 	first := !c.down && !c.mute
@@ -147,13 +156,12 @@
 			if err == nil {
 				conn.Close()
 			}
-			before := c.mute
-			if !stands(err) {
+			still, other := stands(err)
+			if !still || other {
 				c.attend()
-				return
 			}
-			if before != c.mute {
-				c.attend()
+			if !still {
+				return
 			}
 		}
 	}()
@@ -292,35 +300,28 @@
 		if !match(c.router, c.to) {
 			continue
 		}
-		c.mu.Lock()
-		var all []*carried
-		for x := range c.carried {
-			all = append(all, x)
-		}
-		c.mu.Unlock()
-		for _, x := range all {
-			x.close(true)
-			broken++
-		}
+		broken += c.breakAll()
 	}
 	return broken
 }
 
+func (c *connRelay) breakAll() (broken int) {
+	c.mu.Lock()
+	all := slices.Collect(maps.Keys(c.carried))
+	c.mu.Unlock()
+	for _, x := range all {
+		x.close(true)
+	}
+	return len(all)
+}
+
 func (c *connRelay) close() {
 	c.mu.Lock()
 	c.over = true
 	if c.ln != nil {
 		c.ln.Close()
 	}
-	if c.silent != nil {
-		c.silent()
-	}
-	var all []*carried
-	for x := range c.carried {
-		all = append(all, x)
-	}
+	c.speak()
 	c.mu.Unlock()
-	for _, x := range all {
-		x.close(true)
-	}
+	c.breakAll()
 }
--- a/internal/operators/operators.go
+++ b/internal/operators/operators.go
@@ -67,6 +67,17 @@
 	f.checkRegions()
 }
 
+// Restart names the keys whose values another file has otherwise, and which count from the start alone.
+func (f *File) Restart(other File) (keys []string) {
+	if f.Zones != other.Zones {
+		keys = append(keys, "zones.on")
+	}
+	if f.Recovery != other.Recovery {
+		keys = append(keys, "recovery.on")
+	}
+	return keys
+}
+
 // Setting is one value in effect and where it comes from.
 type Setting struct{ Key, Value, From string }
 
--- a/internal/service/pool.go
+++ b/internal/service/pool.go
@@ -54,6 +54,9 @@
 	p.fleet = caches.New(s.loop, caches.Limits{Connections: connections, PerConnection: piped(set, streams), ConnectTimeout: connect,
 		Stall: stall, Idle: idle}, wire, p.log)
 	watch := func(on bool) {} // the list is watched in any case
+	if name != "" {           // what was finished before was at the platform's servers
+		set.Flow = 0
+	}
 	out := router.Outside{Clock: s.loop, Caches: p.fleet, Tell: s.peers.Tell, Watch: watch, Log: p.log}
 	if s.zones != nil {
 		out.Zones = s.zones
--- a/internal/service/recovery.go
+++ b/internal/service/recovery.go
@@ -17,16 +17,10 @@
 	"github.com/fxamacker/cbor/v2"
 )
 
-// What is kept for the next process, and how old it may be to be used.
 const (
-	rateKept = "rate" // a hint: executions a second that servers finished here
-	listKept = "list" // a hint: the last list, for a start to which the platform gives none
-
-	rateOldest = 300.0 // seconds: traffic of some minutes ago is like today's; of hours ago it would have too much sent to cold servers
-	listOldest = 600.0 // seconds: an older list names servers that are long gone, and costs a client's try each
-	rateOver   = 10.0  // seconds over which the rate is reckoned: a burst is no rate
-	stepping   = 0.1   // seconds between two steps of a start
-	putting    = 2.0   // seconds between two rates that are kept
+	rateOver = 10.0 // seconds over which the rate is reckoned: a burst is no rate
+	stepping = 0.1  // seconds between two steps of a start
+	putting  = 2.0  // seconds between two rates that are kept
 )
 
 // recoveryWatch follows a start to full service, and keeps what helps the next. A nil one does nothing.
@@ -38,7 +32,7 @@
 	done   uint64  // operations finished when the rate was last reckoned
 	at     float64 // when that was
 	put    float64
-	number uint64 // generation of what this process keeps
+	number uint64 // generation of what was kept last, also before: what a process keeps is newer than all that it found
 }
 
 // openRecovery begins to follow this start. What was kept from before is read here, and used where it may still be believed.
@@ -55,40 +49,49 @@
 	}
 	w.store = store.Open(base, s.conf.Listen, s.log)
 	now := s.loop.Now()
-	if e, there := w.store.Get(rateKept); there {
+	if e, there := w.store.Get(recovery.Rate); there {
 		w.number = e.Generation
 		x, err := strconv.ParseFloat(string(e.Body), 64)
-		if ok := err == nil && x > 0 && !math.IsInf(x, 0) && recovery.Believe(e.At, now, rateOldest); ok {
+		if ok := err == nil && x > 0 && !math.IsInf(x, 0) && recovery.Believe(recovery.Rate, e.At, now); ok {
 			s.conf.Settings.Flow, w.rate = x, x
 		}
 		s.log.Info().Float64("rate", x).Float64("age", now-e.At).Bool("used", s.conf.Settings.Flow > 0).Msg("kept from before")
 	}
-	if e, there := w.store.Get(listKept); there && len(s.conf.Known.Entries) == 0 && recovery.Believe(e.At, now, listOldest) && e.From == s.conf.Discovery {
-		var kept []keptServer
-		if err := cbor.Unmarshal(e.Body, &kept); err != nil {
-			s.log.Warn().Err(err).Msg("the list that was kept cannot be read")
-			return
+	if e, there := w.store.Get(recovery.List); there {
+		w.number = max(w.number, e.Generation)
+		if len(s.conf.Known.Entries) == 0 && e.From == s.conf.Discovery && recovery.Believe(recovery.List, e.At, now) {
+			s.conf.Known = keptList(e, now)
+			s.log.Info().Uint64("generation", s.conf.Known.Generation).Int("servers", len(s.conf.Known.Entries)).Float64("age", now-e.At).
+				Msg("the list of before is used until another comes")
 		}
-		s.conf.Known = discovery.List{Generation: e.Generation, Whole: true}
-		for _, k := range kept {
-			if entry, err := k.entry(); err == nil {
-				s.conf.Known.Entries = append(s.conf.Known.Entries, entry)
-			}
-		}
-		s.log.Info().Uint64("generation", e.Generation).Int("servers", len(kept)).Float64("age", now-e.At).Msg("the list of before is used until another comes")
 	}
 }
 
-// keptServer is a server of a list as it is kept.
+// kept is a list as it is kept.
+type kept struct {
+	Generation uint64       `cbor:"1,keyasint"` // of the list service
+	Servers    []keptServer `cbor:"2,keyasint"`
+}
+
 type keptServer struct {
 	Member logic.Member `cbor:"1,keyasint"`
 	Addr   string       `cbor:"2,keyasint"`
 }
 
-func (k keptServer) entry() (e discovery.Entry, err error) {
-	e.Member = k.Member
-	e.Addr, err = netip.ParseAddrPort(k.Addr)
-	return e, err
+// keptList reads it. Which of its servers have started anew since nobody knows, so each counts as one that has just done so.
+func keptList(e store.Entry, now float64) (l discovery.List) {
+	var k kept
+	if cbor.Unmarshal(e.Body, &k) != nil { // written by another build, then; its checksum is right
+		return l
+	}
+	l.Generation, l.Whole = k.Generation, true
+	for _, x := range k.Servers {
+		if addr, err := netip.ParseAddrPort(x.Addr); err == nil {
+			x.Member.Started = now
+			l.Entries = append(l.Entries, discovery.Entry{Member: x.Member, Addr: addr})
+		}
+	}
+	return l
 }
 
 func (w *recoveryWatch) begin() { w.tick() }
@@ -107,14 +110,18 @@
 	}
 	if p, _, _ := w.start.Phase(); w.store != nil && p == recovery.Full && now-w.put > putting {
 		w.put = now
-		w.number++
-		w.store.Put(rateKept, store.Entry{Generation: w.number, At: now, From: "this router", Body: []byte(fmt.Sprintf("%.6g", w.usual(now)))})
+		w.keep(recovery.Rate, "this router", []byte(fmt.Sprintf("%.6g", w.usual(now))))
 	}
 	if p, _, _ := w.start.Phase(); w.store != nil || p < recovery.Full { // else there is nothing left to do
 		w.s.loop.After(stepping, w.tick)
 	}
 }
 
+func (w *recoveryWatch) keep(kind, from string, body []byte) {
+	w.number++
+	w.store.Put(kind, store.Entry{Generation: w.number, At: w.s.loop.Now(), From: from, Body: body})
+}
+
 // usual is the rate as one that has run for long would have it: at first less time than it is reckoned over has passed.
 func (w *recoveryWatch) usual(now float64) float64 {
 	if w.s.conf.Settings.Flow > 0 {
@@ -128,17 +135,16 @@
 	if w == nil || p != w.s.platform {
 		return
 	}
-	ready := 0
-	var kept []keptServer
+	ready, k := 0, kept{Generation: p.told}
 	for _, e := range p.entries {
 		if e.Mode == logic.InService {
 			ready++
 		}
-		kept = append(kept, keptServer{e.Member, e.Addr.String()})
+		k.Servers = append(k.Servers, keptServer{e.Member, e.Addr.String()})
 	}
 	if w.start.Known(ready, confirmed); confirmed && w.store != nil {
-		if body, err := cbor.Marshal(kept); err == nil {
-			w.store.Put(listKept, store.Entry{Generation: p.told, At: w.s.loop.Now(), From: w.s.conf.Discovery, Body: body})
+		if body, err := cbor.Marshal(k); err == nil {
+			w.keep(recovery.List, w.s.conf.Discovery, body)
 		}
 	}
 }
--- /dev/null
+++ b/internal/service/recovery_test.go
@@ -0,0 +1,63 @@
+package service
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"bendtrestle/internal/config"
+	"bendtrestle/internal/decide/recovery"
+	"bendtrestle/internal/operators"
+	"bendtrestle/internal/router"
+	"bendtrestle/internal/store"
+	"bendtrestle/logic"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rs/zerolog"
+)
+
+// What was kept goes to the platform's pool alone, and the list's servers count as just started; what is too old, or of another list
+// service, is not used.
+func TestWhatWasKept(t *testing.T) {
+	for what, c := range map[string]struct {
+		age   float64
+		from  string
+		rate  float64
+		known int
+	}{"of a minute ago": {60, "127.0.0.1:1", 12, 1}, "of yesterday": {86400, "127.0.0.1:1", 0, 0}, "of another list service": {60, "127.0.0.1:9", 12, 0},
+		"of the future": {-60, "127.0.0.1:1", 0, 0}} {
+		dir, addr, now := t.TempDir(), freeAddress(t), float64(time.Now().UnixNano())/1e9
+		s := store.Open(store.Path(dir, addr), addr, zerolog.Nop())
+		body, _ := cbor.Marshal(kept{Generation: 4, Servers: []keptServer{{logic.Member{ID: 1, Mode: logic.InService, Started: 5}, "127.0.0.1:2"}}})
+		s.Put(recovery.Rate, store.Entry{Generation: 1, At: now - c.age, Body: []byte("12")})
+		s.Put(recovery.List, store.Entry{Generation: 2, At: now - c.age, From: c.from, Body: body})
+		s.Close(5 * time.Second)
+		conf, err := config.Parse(fmt.Appendf(nil, usual, addr, "127.0.0.1:1"), func(name string) string { return map[string]string{"TMPDIR": dir}[name] })
+		if err != nil {
+			t.Fatal(err)
+		}
+		var flows []float64
+		maker := func(now float64, set logic.Settings, host logic.Host) router.Module {
+			flows = append(flows, set.Flow)
+			return logic.New(now, set, host)
+		}
+		x, err := assemble(Setup{Platform: conf, Operators: operators.File{Recovery: operators.Recovery{On: true},
+			Pools: []operators.Pool{{Name: "other", Discovery: "127.0.0.1:1", Connections: 0.3}}}}, maker, zerolog.Nop())
+		if err != nil {
+			t.Fatal(err)
+		}
+		go x.loop.Run()
+		t.Cleanup(func() { x.loop.Post(x.end) })
+		entries := on(x, func() int {
+			for _, e := range x.conf.Known.Entries {
+				if e.Started < now-1 {
+					t.Errorf("%s: a server of the kept list counts as long started", what)
+				}
+			}
+			return len(x.conf.Known.Entries)
+		})
+		if len(flows) != 2 || flows[0] != c.rate || flows[1] != 0 || entries != c.known {
+			t.Errorf("%s: rates %v and %d servers, want %v, 0 and %d", what, flows, entries, c.rate, c.known)
+		}
+	}
+}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -146,6 +146,10 @@
 	s.loaded++
 	s.log.Info().Str("discovery", conf.Discovery).Msg("configured anew")
 	s.platform.follow(conf.Discovery)
+	if keys := s.operators.Restart(set.Operators); len(keys) > 0 {
+		s.log.Warn().Strs("keys", keys).Msg("these changes of the operators' file need a restart; the old values stay")
+		set.Operators.Zones, set.Operators.Recovery = s.operators.Zones, s.operators.Recovery
+	}
 	s.contract(set)
 	s.zones.reconfigure(set.Operators)
 }
@@ -165,7 +169,7 @@
 	if c.Reports.How != "off" {
 		s.log.Info().Stringer("loadInfo", c.Reports).Msg("reports of load are not to be had on this protocol: own counts and the list's weights decide")
 	}
-	if (c.Settings.Peers || len(set.Operators.Teams) > 0 || set.Operators.Zones.On) && c.PeerListen != "" {
+	if (c.Settings.Peers || len(set.Operators.Teams) > 0) && c.PeerListen != "" {
 		heard := func(words []byte) { s.loop.Post(func() { s.heard(words) }) }
 		s.peers, err = peers.Open(c.PeerListen, c.PeersAll, c.Peers, c.Settings.Me, heard, s.log)
 		if err != nil { // they are a help, nothing depends on them
--- a/internal/service/zones.go
+++ b/internal/service/zones.go
@@ -4,6 +4,7 @@
 	"errors"
 	"hash/crc32"
 	"os"
+	"slices"
 	"strconv"
 	"time"
 
@@ -22,7 +23,6 @@
 type zoneWatch struct {
 	s     *Service
 	fleet *zones.Fleet
-	on    bool
 	bans  *handover.Bans // zones that are left by hand
 	hand  map[string]bool
 	twins map[string]bool // names that were logged as not to be told apart
@@ -35,11 +35,11 @@
 	}
 	c := s.conf
 	life := crc32.ChecksumIEEE([]byte(time.Now().String() + strconv.Itoa(os.Getpid())))
-	w := &zoneWatch{s: s, on: true, hand: map[string]bool{}, twins: map[string]bool{}}
+	w := &zoneWatch{s: s, hand: map[string]bool{}, twins: map[string]bool{}}
 	w.fleet = zones.New(zones.Settings{Me: c.Settings.Me, Routers: c.Settings.Routers, Life: uint16(life), WarmWithin: c.Settings.WarmWithin,
 		Regions: f.Groups()})
 	s.zones = w
-	if c.Settings.Routers > 1 && s.peers == nil {
+	if c.Settings.Routers > 1 && (s.peers == nil || !c.Settings.Peers) {
 		s.log.Warn().Msg("zones are on, and no other router can be heard: none is left but by hand")
 	}
 }
@@ -67,9 +67,6 @@
 		return
 	}
 	w.fleet.Regions(f.Groups())
-	if w.on && !f.Zones.On {
-		w.s.log.Warn().Msg("zones.on needs a restart; zones stay on")
-	}
 }
 
 func (w *zoneWatch) now() float64 { return w.s.loop.Now() }
@@ -80,7 +77,7 @@
 	}
 	w.fleet.Tick(w.now())
 	w.act()
-	for _, words := range w.fleet.Say(w.now()) {
+	if words := w.fleet.Say(w.now()); words != nil && w.s.conf.Settings.Peers { // else the platform allows none
 		w.s.peers.Tell(words)
 	}
 	w.s.loop.After(looking, w.tick)
@@ -187,8 +184,12 @@
 	now := map[string]bool{}
 	for _, name := range names {
 		now[name] = true
-		if !w.hand[name] && w.fleet.Hand(w.now(), name, true) {
-			w.hand[name] = true
+		if w.hand[name] {
+			continue
+		}
+		if w.hand[name] = w.fleet.Hand(w.now(), name, true); !w.hand[name] {
+			delete(w.hand, name)
+			w.s.log.Warn().Str("zone", name).Msg("it is written down as left by hand, and stays, as no other would remain")
 		}
 	}
 	for name := range w.hand {
@@ -200,6 +201,9 @@
 	w.act()
 }
 
+// written tells whether a zone is written down as left by hand.
+func (w *zoneWatch) written(zone string) bool { return slices.Contains(w.bans.IDs(), zone) }
+
 // figures shows how zones stand.
 func (w *zoneWatch) figures(say func(name string, value uint64)) {
 	if w == nil {
@@ -271,6 +275,9 @@
 		w.act()
 		return nil
 	})
+	if !out && errors.Is(err, control.ErrNoZone) && w.written(zone) { // it was left by hand once and could not be, as the last: that is taken back, too
+		err, kept = nil, true
+	}
 	if err == nil && kept {
 		if err = w.bans.Set(zone, out); err != nil { // it holds, but the next process will not know
 			d.s.log.Error().Err(err).Str("zone", zone).Msg("what was called by hand cannot be kept for the next process")
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -13,6 +13,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -50,6 +51,7 @@
 // Store is one router's.
 type Store struct {
 	base  string // empty: nothing is kept
+	off   bool   // it could not be read: nothing is kept either
 	owner string
 	log   zerolog.Logger
 	wake  chan struct{}
@@ -70,8 +72,10 @@
 	Aside                    int     // files that were put aside at the start
 }
 
+const patience = time.Second // for the copies to be read at the start; a disk that is slower has no part in it
+
 // Open reads a router's store at a path, without its ending; an empty path keeps nothing. It never fails: what cannot be used is put
-// aside by name and told in the log.
+// aside by name and told in the log, and a disk that does not answer is not waited for.
 func Open(base, owner string, log zerolog.Logger) *Store {
 	s := &Store{base: base, owner: owner, log: log, wake: make(chan struct{}, 1), ends: make(chan struct{}), done: make(chan struct{}),
 		now: content{Owner: owner, Entries: map[string]Entry{}}}
@@ -79,21 +83,38 @@
 		close(s.done)
 		return s
 	}
+	found := make(chan content, 1)
+	go func() { found <- s.find() }()
+	select {
+	case s.now = <-found:
+		s.written = s.now.Number
+		go s.keep()
+	case <-time.After(patience):
+		log.Warn().Str("file", s.path(0)).Msg("the store cannot be read in time; the router goes on without it")
+		s.off = true
+		close(s.done)
+	}
+	return s
+}
+
+// find gives the newest copy that can be used.
+func (s *Store) find() content {
+	newest := s.now
 	for n := range copies {
-		c, err := read(s.path(n), owner)
+		c, err := read(s.path(n), s.owner)
 		switch {
 		case errors.Is(err, os.ErrNotExist):
 		case err != nil:
+			s.mu.Lock()
 			s.Figures.Aside++
+			s.mu.Unlock()
 			moved := os.Rename(s.path(n), s.path(n)+aside)
-			log.Warn().Err(errors.Join(err, moved)).Str("file", s.path(n)).Msg("a copy of the store cannot be used and is put aside")
-		case c.Number > s.now.Number:
-			s.now = c
+			s.log.Warn().Err(errors.Join(err, moved)).Str("file", s.path(n)).Msg("a copy of the store cannot be used and is put aside")
+		case c.Number > newest.Number:
+			newest = c
 		}
 	}
-	s.written = s.now.Number
-	go s.keep()
-	return s
+	return newest
 }
 
 func (s *Store) path(n int) string { return fmt.Sprintf("%s.store-%d", s.base, n) }
@@ -108,6 +129,9 @@
 
 // Put keeps an entry, on disk within about a second; one of a lower generation than what is there does not replace it. It never waits.
 func (s *Store) Put(kind string, e Entry) {
+	if s.base == "" || s.off {
+		return
+	}
 	s.mu.Lock()
 	if was, there := s.now.Entries[kind]; there && e.Generation < was.Generation {
 		s.mu.Unlock()
@@ -221,6 +245,7 @@
 	errNewer   = errors.New("it was written by a newer build")
 	errDamaged = errors.New("it is damaged")
 	errOther   = errors.New("it is another router's")
+	errOwner   = errors.New("it is another user's, or no file")
 )
 
 func unpack(text []byte, owner string) (content, error) {
@@ -254,6 +279,11 @@
 		return content{}, err
 	}
 	defer f.Close()
+	if info, err := f.Stat(); err != nil {
+		return content{}, err
+	} else if stat, known := info.Sys().(*syscall.Stat_t); !known || int(stat.Uid) != os.Getuid() || !info.Mode().IsRegular() {
+		return content{}, errOwner // in a folder that others write to, too
+	}
 	var text bytes.Buffer
 	if n, err := io.Copy(&text, io.LimitReader(f, largest+1)); err != nil {
 		return content{}, err
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -7,6 +7,7 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"syscall"
 	"testing"
 	"time"
 
@@ -133,3 +134,27 @@
 	f.Add(text)
 	f.Fuzz(func(t *testing.T, text []byte) { unpack(text, "r") })
 }
+
+// A disk that does not answer, here a pipe that nobody writes, holds no start up; what is no file of this user is not read.
+func TestDiskThatHangs(t *testing.T) {
+	base := at(t)
+	if err := syscall.Mkfifo(base+".store-0", 0o600); err != nil {
+		t.Fatal(err)
+	}
+	began := time.Now()
+	s := open(base)
+	if took := time.Since(began); took > 2*patience {
+		t.Errorf("the start took %v", took)
+	}
+	s.Put("k", Entry{Body: []byte("x")})
+	s.Close(time.Second)
+	f, err := os.OpenFile(base+".store-0", os.O_RDWR, 0) // lets the reader go, which puts it aside
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.Close()
+	os.Mkdir(base+".store-1", 0o700)
+	if e, there := open(base).Get("k"); there {
+		t.Errorf("got %+v", e)
+	}
+}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -1059,6 +1059,22 @@
 	}
 }
 
+// What is bound to a zone that is left is declined at once, with when to come back, and never goes elsewhere (rule 5).
+func TestBoundToAZoneThatIsLeft(t *testing.T) {
+	r, did := fleet(4, func(s *Settings) { s.TrafficTypes[0].RunsIn = []string{"b"} })
+	r.servers[1].Zone, r.servers[2].Zone = "b", "b"
+	r.Arrived(1, 1, "view", "", "key", 2)
+	if r.Zoned(1.1, "b", 0); did.last() != "withdraw 1/0" {
+		t.Errorf("did %q", did.last())
+	}
+	if r.Settled(1.1, 1, 0, Withdrawn, 0.1, false); did.last() != "decline 1 after true" {
+		t.Errorf("did %q", did.last())
+	}
+	if r.Arrived(1.2, 2, "view", "", "key", 2); did.last() != "decline 2 after true" {
+		t.Errorf("did %q", did.last())
+	}
+}
+
 // A zone's share is of caches: what the origin's servers in a zone that is left work on goes on.
 func TestZonedLeavesTheOrigin(t *testing.T) {
 	r, did := fleet(3, func(s *Settings) { s.Aside, s.OriginKind = true, "origin" })
