Let no call that hangs hide what the list service's agent has, and no bad entry a drain

By lines, before: watch.go gave a call up 2.5 s after it began and waited 0.1 s more, while what a pushed list's agent has at discovery's return counts as told at once and the grace is 0.5 s: the longest delay was 2.65 s. Ruled out: the wait between calls alone. Also: SIGHUP's first list was compared with the generation known as it moved, so one that lags took back a drain that the old watch told meanwhile (looked at on the loop now); an entry with one bad field, or what is not an object, threw the whole list away with the drains in it; a whole list without instances emptied the fleet. Tests fail without each: calls 2 and 3 beside the first (else one call only), the slow answer, the silent service, the race of both watches, 150 bad entries beside a drain. TestOlderListIsNotTaken now refuses in news, where the pool decides; what it asks is the same.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -31,7 +31,8 @@
 	ConnectTimeout          float64
 	ConnIdle                float64
 	PerConnection           int
-	OpenCap                 int // operations that the settings allow, 0: any number
+	DrainGrace              float64 // seconds after a drain is told in which servers may still be sent to
+	OpenCap                 int     // operations that the settings allow, 0: any number
 
 	// What follows from the limits.
 	Clients, Spare, Caches, Open, Held int
@@ -126,6 +127,9 @@
 	shape(o, set, &c)
 	bounds := set.Part("limits")
 	c.ConnectTimeout = positive(bounds, "connectTimeout", 1e9) / 1e9
+	if c.DrainGrace = 0.5; !set.Part("rules").Absent("drainGrace") { // 0 is a grace, too: none
+		c.DrainGrace = set.Part("rules").Seconds("drainGrace")
+	}
 	c.ConnIdle = positive(bounds, "connIdle", 60e9) / 1e9
 	c.PerConnection = max(1, int(positive(bounds, "streamsPerConn", 1)))
 	c.OpenCap = int(bounds.Count("openCap"))
@@ -144,7 +148,7 @@
 		"ops":    c.Ops == next.Ops, "peer_listen": c.PeerListen == next.PeerListen, "peers_all": c.PeersAll == next.PeersAll,
 		"peers": slices.Equal(c.Peers, next.Peers),
 		"settings": reflect.DeepEqual(now, then) && c.ConnectTimeout == next.ConnectTimeout &&
-			reflect.DeepEqual(c.Reports, next.Reports) && c.ConnIdle == next.ConnIdle && c.PerConnection == next.PerConnection && c.OpenCap == next.OpenCap,
+			reflect.DeepEqual(c.Reports, next.Reports) && c.ConnIdle == next.ConnIdle && c.DrainGrace == next.DrainGrace && c.PerConnection == next.PerConnection && c.OpenCap == next.OpenCap,
 	} {
 		if !same {
 			keys = append(keys, key)
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -14,6 +16,7 @@
 	"bendtrestle/logic"
 
 	"github.com/rs/zerolog"
+	"pgregory.net/rapid"
 )
 
 func TestParse(t *testing.T) {
@@ -46,7 +49,9 @@
 		`{"generation":"x"}`:               "generation: not a whole number",
 		`{"generation":1,"instances":3}`:   "instances: not a list",
 		`{"generation":1,"instances":[3]}`: "instances: holds what is not an object",
-		`{"generation":1,"instances":[{"instanceId":"s","weight":"heavy"}]}`: "instances: weight: not a number",
+		`{"generation":1,"instances":[{"instanceId":"s","weight":"heavy"}]}`:              "instances: weight: not a number",
+		`{"generation":1,"reset":true}`:                                                   "instances: missing",
+		`{"generation":1,"reset":3,"instances":[{"instanceId":"s","lifecycle":"ready"}]}`: "reset: not true or false",
 	} {
 		if _, err := Parse([]byte(text)); err == nil || err.Error() != want {
 			t.Errorf("%s: got %v, want %s", text, err, want)
@@ -54,7 +59,7 @@
 	}
 }
 
-var quick = pace.Pace{First: 0.1, Most: 0.1}
+var quick = Rhythm{Hold: 2 * time.Second, Late: 500 * time.Millisecond, Most: 1, Pace: pace.Pace{First: 0.1, Most: 0.1}}
 
 // The first call asks for the whole list, the next for what is newer, and a failure leaves the list and is
 // tried again from where it was.
@@ -77,7 +82,7 @@
 		}
 	}))
 	news, failures := make(chan List, 10), make(chan error, 10)
-	go Watch(ctx, server.Listener.Addr().String(), Start{Pace: quick}, func(l List) { news <- l }, func(err error) { failures <- err },
+	go Watch(ctx, server.Listener.Addr().String(), Start{Rhythm: quick}, func(l List) error { news <- l; return nil }, func(err error) { failures <- err },
 		zerolog.Nop())
 	for i, want := range []string{"", "from=41&hold_ms=2000", "from=41&hold_ms=2000", "from=43&hold_ms=2000"} {
 		select {
@@ -115,7 +120,13 @@
 		fmt.Fprintf(w, `{"generation":%d,"reset":true,"instances":[]}`, 40+n)
 	}))
 	news := make(chan List, 10)
-	go Watch(ctx, server.Listener.Addr().String(), Start{Known: 43, Pace: quick}, func(l List) { news <- l }, func(error) {}, zerolog.Nop())
+	go Watch(ctx, server.Listener.Addr().String(), Start{Known: 43, Rhythm: quick}, func(l List) error {
+		if l.Generation < 43 {
+			return ErrOld
+		}
+		news <- l
+		return nil
+	}, func(error) {}, zerolog.Nop())
 	if l := <-news; l.Generation != 43 {
 		t.Errorf("list %d was taken, though 43 was known", l.Generation)
 	}
@@ -134,8 +145,172 @@
 		fmt.Fprint(w, `{"generation":3,"reset":true,"instances":[]}`)
 	}))
 	defer server.Close()
-	go Watch(ctx, server.Listener.Addr().String(), Start{Known: 41, Same: true, Pace: quick}, func(List) {}, func(error) {}, zerolog.Nop())
+	go Watch(ctx, server.Listener.Addr().String(), Start{Known: 41, Same: true, Rhythm: quick}, func(List) error { return nil }, func(error) {}, zerolog.Nop())
 	if first, second := <-calls, <-calls; first != "from=41&hold_ms=2000" || second != "" {
 		t.Errorf("it asks for %q, then for %q", first, second)
 	}
 }
+
+// What is wrong with one entry must not hide the drain beside it, nor may its server be sent to by half of what it says.
+func TestAMalformedEntryHidesNoDrain(t *testing.T) {
+	bad := strings.Repeat(`{"instanceId":"s-9","hostPort":"10.1.0.9:1","lifecycle":"ready","cell":"x"},`, 150)
+	l, err := Parse([]byte(`{"generation":43,"reset":false,"instances":[7,` + bad + `{"instanceId":3,"lifecycle":"ready"},
+		{"instanceId":"s-1","hostPort":"10.1.0.18:1","lifecycle":"ready","startedAtMs":"now"},
+		{"instanceId":"s-2","hostPort":"10.1.0.19:1","lifecycle":"draining"},
+		{"instanceId":"s-3","hostPort":"10.1.0.20:1","lifecycle":"gone","weight":"-"},
+		{"instanceId":"s-4","hostPort":"10.1.0.21:1","lifecycle":"ready"}]}`))
+	if err != nil || l.Faulty == "" {
+		t.Fatalf("got %v, told %q", err, l.Faulty)
+	}
+	got := map[uint64]logic.Mode{}
+	for _, e := range l.Entries {
+		got[e.ID] = e.Mode
+	}
+	if want := map[uint64]logic.Mode{ID("s-9"): logic.Draining, ID("s-1"): logic.Draining, ID("s-2"): logic.Draining,
+		ID("s-3"): logic.Gone, ID("s-4"): logic.InService}; !maps.Equal(got, want) {
+		t.Errorf("got %v, want %v", got, want)
+	}
+}
+
+// agent is a list service whose calls are answered only as a test says.
+type agent struct {
+	t     *testing.T
+	addr  string
+	calls chan *asked
+	news  chan List
+}
+
+type asked struct {
+	query  string
+	answer chan string
+	given  <-chan struct{} // closed once the caller gives up
+}
+
+func asking(t *testing.T, start Start) agent {
+	a := agent{t: t, calls: make(chan *asked, 100), news: make(chan List, 100)}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c := &asked{r.URL.RawQuery, make(chan string, 1), r.Context().Done()}
+		a.calls <- c
+		select {
+		case text := <-c.answer:
+			if text == "" {
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}
+			fmt.Fprint(w, text)
+		case <-r.Context().Done():
+		}
+	}))
+	ctx, stop := context.WithCancel(context.Background())
+	go Watch(ctx, server.Listener.Addr().String(), start, func(l List) error { a.news <- l; return nil }, func(error) {}, zerolog.Nop())
+	t.Cleanup(func() { stop(); server.CloseClientConnections(); server.Close() })
+	return a
+}
+
+func next[T any](t *testing.T, what string, from chan T) (x T) {
+	t.Helper()
+	select {
+	case x = <-from:
+	case <-time.After(10 * time.Second):
+		t.Fatalf("no %s", what)
+	}
+	return x
+}
+
+func (a agent) out(c *asked) {
+	a.t.Helper()
+	select {
+	case <-c.given:
+		a.t.Error("a call was given up that may still be answered")
+	default:
+	}
+}
+
+func list(generation int) string {
+	return fmt.Sprintf(`{"generation":%d,"reset":false,"instances":[]}`, generation)
+}
+
+// An agent is silent while discovery is down, and what it gets at the return counts as told at once: the calls that hang from
+// before must not hide it. So others are made beside them, and the first that is answered tells.
+func TestACallThatHangsHidesNothing(t *testing.T) {
+	a := asking(t, Start{Known: 41, Same: true, Rhythm: Pushed(0.5, 1)})
+	first, second, third := next(t, "call", a.calls), next(t, "call beside the one that hangs", a.calls), next(t, "third call", a.calls)
+	a.out(first)
+	a.out(second)
+	if first.query != "from=41&hold_ms=300" || second.query != "from=41&hold_ms=0" {
+		t.Errorf("it asks for %q, then for %q", first.query, second.query)
+	}
+	third.answer <- list(43)
+	if l := next(t, "list", a.news); l.Generation != 43 {
+		t.Errorf("got %+v", l)
+	}
+	<-first.given
+	<-second.given
+	fourth := next(t, "call after the list", a.calls)
+	for fourth.query == second.query { // one more may have begun before the answer came
+		fourth = next(t, "call after the list", a.calls)
+	}
+	if fourth.query != "from=43&hold_ms=300" {
+		t.Errorf("then it asks for %q", fourth.query)
+	}
+}
+
+// An agent that is only slow is heard, though others were called beside that call; what those tell later is not taken for news.
+func TestASlowAnswerCountsAndAnOlderOneDoesNot(t *testing.T) {
+	a := asking(t, Start{Known: 41, Same: true, Rhythm: Pushed(0.5, 1)})
+	first, second := next(t, "call", a.calls), next(t, "call beside it", a.calls)
+	first.answer <- list(44)
+	if l := next(t, "list", a.news); l.Generation != 44 {
+		t.Errorf("got %+v", l)
+	}
+	second.answer <- list(43)
+	for {
+		c := next(t, "call after the list", a.calls)
+		if c.query == "from=44&hold_ms=300" {
+			c.answer <- list(45)
+			break
+		}
+	}
+	if l := next(t, "list", a.news); l.Generation != 45 {
+		t.Errorf("then it takes %+v", l)
+	}
+}
+
+// A service that answers all routers has one call of each at a time. One that falls silent is called anew at once, one that is
+// silent again or turns the call away only after a wait.
+func TestASilentServiceIsCalledAnewAtOnceAndOneThatIsFullLater(t *testing.T) {
+	never := pace.Pace{First: 1e6, Most: 1e6}
+	a := asking(t, Start{Known: 41, Same: true, Rhythm: Rhythm{Hold: 50 * time.Millisecond, Late: 50 * time.Millisecond, Most: 1, Pace: never}})
+	first := next(t, "call", a.calls)
+	<-first.given
+	second := next(t, "call after the silent one", a.calls)
+	<-second.given
+	select {
+	case <-a.calls:
+		t.Error("a service that is silent again is called at once")
+	case <-time.After(300 * time.Millisecond):
+	}
+	b := asking(t, Start{Known: 41, Same: true, Rhythm: Rhythm{Hold: time.Second, Late: time.Second, Most: 1, Pace: never}})
+	next(t, "call", b.calls).answer <- ""
+	select {
+	case <-b.calls:
+		t.Error("a service that turned the call away is called at once")
+	case <-time.After(300 * time.Millisecond):
+	}
+}
+
+// The longest delays, by reckoning: whatever hung, an agent is asked again within the grace, and a service that has been silent
+// or has turned calls away before what it has counts as told (6 s, after SIGHUP 4 s).
+func TestRhythmsKeepWhatIsStated(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		grace := rapid.Float64Range(0.1, 1).Draw(t, "grace")
+		r := Pushed(grace, 1)
+		if (r.Hold+r.Late).Seconds() >= grace || r.Again.Seconds() >= grace || 1.5*max(r.Pace.Most, r.Pace.First) >= grace {
+			t.Errorf("with a grace of %v it is %+v", grace, r)
+		}
+		within := rapid.Float64Range(0, 1000).Draw(t, "within")
+		r = OnRequest(within, 1)
+		if silent := (r.Hold + r.Late).Seconds(); silent+1.5*r.Pace.First > 6 || 1.5*r.Pace.Most > 4 {
+			t.Errorf("within %v it is %+v", within, r)
+		}
+	})
+}
--- a/internal/discovery/list.go
+++ b/internal/discovery/list.go
@@ -4,6 +4,8 @@
 import (
 	"hash/crc32"
 	"net/netip"
+	"slices"
+	"strings"
 
 	"bendtrestle/internal/settings"
 	"bendtrestle/logic"
@@ -12,7 +14,8 @@
 // Entry is one cache server of a list. Its id is made from the instance's name, the same at every router.
 type Entry struct {
 	logic.Member
-	Addr netip.AddrPort
+	Addr   netip.AddrPort
+	faulty bool // a field cannot be read
 }
 
 // List is a whole list, or what has changed since an earlier one.
@@ -20,6 +23,7 @@
 	Generation uint64
 	Whole      bool
 	Entries    []Entry
+	Faulty     string `json:"-"` // what is wrong with the first entry that cannot be used; empty: with none
 }
 
 var modes = map[string]logic.Mode{"ready": logic.InService, "draining": logic.Draining}
@@ -27,32 +31,48 @@
 // ID makes a server's id. It fits into 32 bits, as a peer's words have it.
 func ID(instance string) uint64 { return uint64(crc32.ChecksumIEEE([]byte(instance))) }
 
-// Parse reads a list.
+// Parse reads a list from a list service. What is wrong with an entry costs that server alone: it gets nothing new, and the
+// rest of the list, with the drains that it tells, still counts. A list without any that can be used is an error.
 func Parse(text []byte) (List, error) {
 	o, err := settings.Parse(text, "malformed list")
 	if err != nil {
 		return List{}, err
 	}
-	l := Read(o)
+	l, faults, bad := Read(o), o.Faults(), 0
+	if l.Whole && o.Absent("instances") {
+		o.Fault("instances", "missing")
+	}
+	elsewhere := slices.ContainsFunc(faults, func(f settings.Fault) bool { return !strings.HasPrefix(f.Path, "/instances") })
+	for i := range l.Entries {
+		if l.Entries[i].faulty {
+			l.Entries[i].Mode = min(l.Entries[i].Mode, logic.Draining)
+			bad++
+		}
+	}
+	if len(faults) > 0 && bad < len(l.Entries) && !elsewhere {
+		l.Faulty = faults[0].Text
+		return l, nil
+	}
 	return l, o.Err()
 }
 
-// Read reads a list from an object, which keeps the first fault.
+// Read reads a list from an object, which keeps the faults.
 func Read(o *settings.Object) List {
 	l := List{Generation: o.ID("generation"), Whole: o.Flag("reset")}
 	for _, e := range o.List("instances") {
+		before := o.Met()
 		name, at := e.Text("instanceId"), e.Text("hostPort")
-		if name == "" {
-			continue
-		}
 		mode := modes[e.Text("lifecycle")]
 		addr, err := netip.ParseAddrPort(at)
 		if err != nil && mode == logic.InService {
 			mode = logic.Draining // nowhere to send to; the rest of the list still counts
 		}
-		l.Entries = append(l.Entries, Entry{Addr: addr, Member: logic.Member{ID: ID(name), Mode: mode,
+		entry := Entry{Addr: addr, Member: logic.Member{ID: ID(name), Mode: mode,
 			Capacity: e.Number("weight"), Zone: e.Name0("zone"), Cell: e.Count("cell"), Kind: e.Name0("machineType"),
-			Started: e.Number("startedAtMs") / 1e3}})
+			Started: e.Number("startedAtMs") / 1e3}}
+		if entry.faulty = o.Met() > before; name != "" {
+			l.Entries = append(l.Entries, entry)
+		}
 	}
 	return l
 }
--- a/internal/service/pool.go
+++ b/internal/service/pool.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 
 	"bendtrestle/internal/caches"
-	"bendtrestle/internal/decide/pace"
 	"bendtrestle/internal/discovery"
 	"bendtrestle/internal/router"
 	"bendtrestle/logic"
@@ -26,7 +26,7 @@
 	entries  map[uint64]discovery.Entry // the present list
 	told     uint64                     // the list's generation as the list service last told it
 	last     discovery.List             // the list as the router's last run had it
-	pace     pace.Pace                  // of calls to the list service that fail
+	rhythm   discovery.Rhythm           // of calls to the list service
 	watch    *watch                     // whose news count
 	next     *watch                     // that watch's successor, until it has told a whole list
 	log      zerolog.Logger
@@ -34,19 +34,18 @@
 
 // watch is a call to a list service that goes on.
 type watch struct {
-	addr string
-	stop context.CancelFunc
+	addr  string
+	known uint64 // the generation that was known as it began
+	since float64
+	stop  context.CancelFunc
 }
 
 // newPool makes one without servers.
 func (s *Service) newPool(name string, set logic.Settings, connections int, connect, stall, idle float64, streams int, wire func(caches.Link) caches.Wire) *pool {
 	p := &pool{s: s, name: name, onDemand: set.OnRequest, listed: map[uint64]bool{}, known: map[uint64]bool{}, entries: map[uint64]discovery.Entry{}, log: s.log}
-	// Where the list comes only when asked for, one service answers all routers, and a call that it turns away costs it too:
-	// waits from a sixteenth of the time within which it wants to be asked left it full for longer than from a quarter.
-	// Elsewhere it is an agent beside the router, and a watch goes on within 0.2 s.
-	p.pace = pace.Pace{First: 0.1, Most: 0.1, Seed: set.Seed}
+	p.rhythm = discovery.Pushed(s.conf.DrainGrace, set.Seed)
 	if set.OnRequest {
-		p.pace.First, p.pace.Most = max(0.1, set.AskWithin/4), max(set.AskWithin/2, 1)
+		p.rhythm = discovery.OnRequest(set.AskWithin, set.Seed)
 	}
 	if name != "" {
 		p.log = s.log.With().Str("pool", name).Logger()
@@ -88,16 +87,24 @@
 		return
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	w := &watch{addr: addr, stop: stop}
+	w := &watch{addr: addr, since: p.s.loop.Now(), stop: stop}
 	p.next = w
-	start := discovery.Start{Known: p.told, Pace: p.pace}
+	start := discovery.Start{Known: p.told, Rhythm: p.rhythm}
 	if len(p.last.Entries) > 0 { // of the address that the start names: one named later may count its own way
 		start.Known, start.Same = p.last.Generation, true
 		p.last = discovery.List{}
 	}
-	p.pace.Seed++ // another's chance for the next
-	go discovery.Watch(ctx, addr, start, func(l discovery.List) {
-		p.s.loop.Post(func() { p.news(w, l) })
+	w.known = start.Known
+	p.rhythm.Pace.Seed++ // another's chance for the next
+	go discovery.Watch(ctx, addr, start, func(l discovery.List) error {
+		taken := make(chan error, 1)
+		p.s.loop.Post(func() { taken <- p.news(w, l) })
+		select {
+		case err := <-taken:
+			return err
+		case <-ctx.Done():
+			return ctx.Err()
+		}
 	}, func(error) {
 		if p.onDemand { // elsewhere the module has asked for nothing
 			p.s.loop.Post(func() { p.failed(w) })
@@ -114,21 +121,31 @@
 	}
 }
 
-func (p *pool) news(w *watch, l discovery.List) {
+// catchUp is how long a list service may lag behind what is known: one that was moved to has the last list by then, or counts
+// its own way.
+const catchUp = 2
+
+// news takes a list. What the watch before this one told meanwhile must not be taken back by a service that lags behind it, so
+// that is looked at here, where both come in.
+func (p *pool) news(w *watch, l discovery.List) error {
+	if w != p.watch && w != p.next {
+		return nil // moved from since
+	}
+	if known := max(p.told, w.known); l.Whole && l.Generation < known && p.s.loop.Now()-w.since < catchUp {
+		return fmt.Errorf("%w: %d, %d", discovery.ErrOld, l.Generation, known)
+	}
 	if w == p.next {
 		if p.watch != nil {
 			p.watch.stop()
 		}
 		p.watch, p.next = w, nil
 	}
-	if w != p.watch {
-		return // moved from since
-	}
 	if p.told = l.Generation; l.Whole {
 		p.hear(logic.Snapshot, l)
 	} else {
 		p.hear(logic.Diff, l)
 	}
+	return nil
 }
 
 func (p *pool) failed(w *watch) {
--- a/internal/settings/object.go
+++ b/internal/settings/object.go
@@ -18,6 +18,7 @@
 	path   string // within the text, as Lines has it
 	up     *Object
 	faults []Fault
+	met    int // all faults, also those that are not kept
 }
 
 // Fault is what is wrong with a field.
@@ -51,6 +52,9 @@
 // Faults are all faults, in the order in which they were met.
 func (o *Object) Faults() []Fault { return o.faults }
 
+// Met counts all faults, also those that are not kept.
+func (o *Object) Met() int { return o.met }
+
 // Fault notes that a field cannot be used.
 func (o *Object) Fault(field, what string) {
 	text := field + ": " + what
@@ -61,7 +65,7 @@
 	for root.up != nil {
 		root = root.up
 	}
-	if len(root.faults) < mostFaults {
+	if root.met++; len(root.faults) < mostFaults {
 		root.faults = append(root.faults, Fault{o.path + "/" + field, text})
 	}
 }
@@ -167,13 +171,13 @@
 	return o.Sub(field)
 }
 
-// List reads an array of objects.
+// List reads an array of objects; what else it holds is a fault, and left out.
 func (o *Object) List(field string) []*Object {
 	var all []*Object
 	for i, v := range o.values(field) {
 		if v.Type() != fastjson.TypeObject {
 			o.Fault(field, "holds what is not an object")
-			return nil
+			continue
 		}
 		e := o.within(v, field)
 		e.path += "/" + strconv.Itoa(i)
