Take back what has not left for a cache server when its client goes or a drain is told

Lines before: link.go DropUnsent looked at attempts without a connection alone, so what stood in a connection's buffer behind a write that the kernel took no more of was sent on after its client had left, after a drain's grace, and after a numbered operation's window; caches.go Unlisted the same. A server that moved was still sent to on connections that came up or were in use to its old address (Listed closed the idle ones alone). An idle connection was picked whatever its age, if the loop had been stopped. A refusal names no operation: said twice, it was taken for the next one's, which 'never ran' and was made again. At the bound what waited for a connection was given it one after another, not piped, once it came up (the flaw behind TestLongValues 'ended as 8', seen beside a busy machine). One that was withdrawn ended the executions of others on its connection, which cost at-most-once operations and counted as the server's failures. A command was piped on a connection that had ended. Each has a test on real connections in internal/caches/crossings_test.go that holds the loop until both events stand in one round; each mend was taken out in turn: a test fails. The module states by when a repeat of a numbered operation must be written (host.go within).

--- a/internal/caches/caches.go
+++ b/internal/caches/caches.go
@@ -79,11 +79,23 @@
 		f.servers[id] = s
 	}
 	if s.listed = true; s.addr != addr && addr.IsValid() {
-		s.closeIdle()
 		s.addr = addr
+		s.moved()
 	}
 }
 
+// moved leaves the connections to the address before: another server may be there by now. What is out on them goes on, what is not
+// written is not, and what waits for one gets a new one.
+func (s *server) moved() {
+	s.closeIdle()
+	for _, l := range slices.Clone(s.links) {
+		if l.letGo(); !l.up {
+			l.close()
+		}
+	}
+	s.spread()
+}
+
 // Unlisted takes that a server wants nothing new: no connection is kept open to it, and what still waits for one
 // is not sent, lest it go out after the grace.
 func (f *Fleet) Unlisted(id uint64) {
@@ -94,17 +106,29 @@
 	}
 }
 
-// LetGo gives up what still waits for a connection to a server, and closes idle ones.
+// LetGo gives up what still waits for a connection to a server or to be written there, and closes idle ones.
 func (f *Fleet) LetGo(id uint64) {
 	if s := f.servers[id]; s != nil {
 		for _, a := range s.waiting {
 			a.settle(logic.NotSent, router.Result{})
 		}
 		s.waiting = nil
+		for _, l := range slices.Clone(s.links) {
+			l.letGo()
+		}
 		s.closeIdle()
 	}
 }
 
+// letGo gives up what is on the connection and has not begun to leave.
+func (l *link) letGo() {
+	for _, a := range slices.Clone(l.queue) {
+		if !a.done && l.takeBack(a) {
+			a.settle(logic.NotSent, router.Result{})
+		}
+	}
+}
+
 // Close lets go of all connections and timers; nothing may be out.
 func (f *Fleet) Close() {
 	f.closed = true
@@ -113,20 +137,21 @@
 	}
 }
 
-// Execute begins an execution; it is given up after limit.
-func (f *Fleet) Execute(id uint64, op *router.Operation, limit float64, x router.Execution) router.Pending {
+// Execute begins an execution; it is given up after limit, or where it is not written after within.
+func (f *Fleet) Execute(id uint64, op *router.Operation, limit, within float64, x router.Execution) router.Pending {
 	a := &attempt{op: op, ended: x.Settled}
-	f.begin(id, a, limit)
+	f.begin(id, a, limit, within)
 	return a
 }
 
 // Probe asks a server whether it is there.
 func (f *Fleet) Probe(id uint64, ended func(logic.Outcome)) {
 	a := &attempt{ended: func(how logic.Outcome, _ router.Result) { ended(how) }}
-	f.begin(id, a, f.limits.ConnectTimeout+0.1) // a round trip in a fleet is far below a tenth of a second
+	limit := f.limits.ConnectTimeout + 0.1 // a round trip in a fleet is far below a tenth of a second
+	f.begin(id, a, limit, limit)
 }
 
-func (f *Fleet) begin(id uint64, a *attempt, limit float64) {
+func (f *Fleet) begin(id uint64, a *attempt, limit, within float64) {
 	s := f.servers[id]
 	if s == nil { // not listed with an address
 		s = &server{f: f}
@@ -134,7 +159,8 @@
 	a.on = s
 	a.until = f.loop.Now() + limit
 	a.timer = f.loop.Timer(a.overdue)
-	a.timer.Set(a.until)
+	a.early = within < limit
+	a.timer.Set(a.until - max(0, limit-within))
 	s.place(a)
 }
 
@@ -144,18 +170,23 @@
 	if f.closed {
 		return
 	}
-	old := f.loop.Now() - f.limits.Idle*3/4
 	for _, s := range f.servers {
-		for len(s.idle) > 0 && s.idle[0].since < old {
-			s.idle[0].close()
-		}
+		s.age()
 	}
 	f.loop.After(max(f.limits.Idle/8, 0.1), f.sweep)
 }
 
-// place puts an attempt on an idle connection, else on the first that becomes free or comes up. Behind another
-// it would wait for that one's answer, so this is left to when no more connections may be opened.
+// age closes what has stood idle for long. It is looked at when one is picked, too: the loop may have been stopped meanwhile.
+func (s *server) age() {
+	old := s.f.loop.Now() - s.f.limits.Idle*3/4
+	for len(s.idle) > 0 && s.idle[0].since < old {
+		s.idle[0].close()
+	}
+}
+
+// place puts an attempt on an idle connection, else on the first that becomes free or comes up.
 func (s *server) place(a *attempt) {
+	s.age()
 	for len(s.idle) > 0 {
 		l := s.rested()
 		if l.conn.Quiet() {
@@ -165,23 +196,32 @@
 		l.close() // it has ended or was spoken on out of turn: what would be written now might be lost
 	}
 	s.waiting = append(s.waiting, a)
+	s.spread()
+}
+
+// spread finds connections for what waits: new ones, and where no more may be opened those that have something out, behind which
+// it waits for the answers before it.
+func (s *server) spread() {
 	s.dial()
-	if len(s.waiting) <= s.coming {
-		return
-	}
-	var least *link
-	for _, l := range s.links {
-		if l.up && l.passage == nil && len(l.queue) < s.f.limits.PerConnection && (least == nil || len(l.queue) < len(least.queue)) {
-			least = l
+	for len(s.waiting) > s.coming {
+		var least *link
+		for _, l := range s.links {
+			if l.up && l.addr == s.addr && l.passage == nil && len(l.queue) < s.f.limits.PerConnection &&
+				(least == nil || len(l.queue) < len(least.queue)) && !l.conn.Ended() {
+				least = l
+			}
+		}
+		first := s.waiting[s.coming] // for which no connection comes up
+		switch {
+		case least != nil:
+			s.leave(first)
+			least.send(first)
+		case len(s.links) == 0: // no descriptor is to be had
+			s.leave(first)
+			first.settle(logic.NotSent, router.Result{})
+		default:
+			return
 		}
-	}
-	switch {
-	case least != nil:
-		s.leave(a)
-		least.send(a)
-	case len(s.links) == 0: // no descriptor is to be had
-		s.leave(a)
-		a.settle(logic.NotSent, router.Result{})
 	}
 }
 
@@ -212,7 +252,7 @@
 func (s *server) dial() {
 	f := s.f
 	for s.coming < len(s.waiting) && len(s.links) < max(1, f.limits.Connections/max(1, len(f.servers))) && f.room() {
-		l := &link{on: s}
+		l := &link{on: s, addr: s.addr}
 		l.wire = f.wire(l)
 		conn, err := f.loop.Dial(s.addr, l)
 		if err != nil {
@@ -278,17 +318,17 @@
 
 // free takes a connection with nothing out.
 func (s *server) free(l *link) {
-	if len(s.waiting) > 0 && l.conn.Quiet() { // else what would be written now might be lost
+	if waits := len(s.waiting) > 0 && l.addr == s.addr; waits && l.conn.Quiet() { // else what would be written now might be lost
 		a := s.waiting[0]
 		s.leave(a)
 		l.send(a)
 		return
-	} else if len(s.waiting) > 0 {
+	} else if waits {
 		l.broken()
 		return
 	}
 	l.since = s.f.loop.Now()
-	if s.idle = append(s.idle, l); !s.listed {
+	if s.idle = append(s.idle, l); !s.listed || l.addr != s.addr {
 		l.close()
 	}
 }
--- /dev/null
+++ b/internal/caches/crossings_test.go
@@ -0,0 +1,211 @@
+package caches
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"bendtrestle/internal/router"
+	"bendtrestle/logic"
+)
+
+// stuck is a fleet whose server reads nothing of the one connection to it, until it is told: it is full of a write.
+func stuck(t *testing.T) (f fleet, l *link, a outcome, hear func() []byte) {
+	limits := usual
+	limits.Connections, limits.PerConnection = 1, 10
+	f, conns := listening(t, limits)
+	a = make(outcome, 1)
+	f.do(f.loop, func() {
+		f.Execute(1, &router.Operation{ID: "a", Write: true, Value: make([]byte, 32<<20)}, 60, 60, a) // beyond what the kernel holds
+	})
+	conn := <-conns
+	for held := -1; ; { // until the kernel takes no more
+		now := 0
+		f.do(f.loop, func() {
+			if l = f.servers[1].links[0]; l.conn.Unsent() > 0 {
+				now = int(l.conn.Sent())
+			}
+		})
+		if now > 0 && now == held {
+			break
+		}
+		held = now
+		time.Sleep(20 * time.Millisecond)
+	}
+	return f, l, a, func() []byte {
+		all, _ := io.ReadAll(conn)
+		return all
+	}
+}
+
+// What stands behind a write that the kernel takes no more of is not sent once its client has left, its server was told to drain,
+// or its window is over; and what is before it goes on.
+func TestWhatTheKernelHasNotBegunToTakeIsTakenBack(t *testing.T) {
+	for name, cross := range map[string]func(f fleet, b router.Pending){
+		"its client leaves": func(_ fleet, b router.Pending) { b.DropUnsent() },
+		"it is withdrawn":   func(_ fleet, b router.Pending) { b.Drop() },
+		"a drain is told":   func(f fleet, _ router.Pending) { f.Unlisted(1) },
+		"out by hand":       func(f fleet, _ router.Pending) { f.LetGo(1) },
+		"its window ends":   func(_ fleet, b router.Pending) { b.(*attempt).overdue() },
+	} {
+		f, l, a, hear := stuck(t)
+		b, c := make(outcome, 1), make(outcome, 1)
+		f.do(f.loop, func() {
+			p := f.Execute(1, &router.Operation{Key: "second", ID: "b", Flags: "Ob"}, 60, 30, b)
+			f.Execute(1, &router.Operation{Key: "third", ID: "c", Flags: "Oc"}, 60, 60, c).DropUnsent()
+			cross(f, p)
+		})
+		want := logic.NotSent
+		if name == "it is withdrawn" {
+			want = logic.Withdrawn
+		}
+		b.want(t, want)
+		c.want(t, logic.NotSent)
+		go func() { // the write goes on, and ends with its connection
+			for whole := false; !whole; time.Sleep(10 * time.Millisecond) {
+				f.do(f.loop, func() {
+					if whole = l.queue[0].written() && l.conn.Unsent() == 0; whole {
+						l.conn.Close()
+						l.Closed()
+					}
+				})
+			}
+		}()
+		heard := hear()
+		if a.want(t, logic.ConnectionLost); len(heard) < 32<<20 || bytes.Contains(heard, []byte("second")) || bytes.Contains(heard, []byte("third")) {
+			t.Errorf("%s: the server read %d bytes, up to %q", name, len(heard), heard[max(0, len(heard)-60):])
+		}
+	}
+}
+
+// One that has begun to leave when its client does ends its connection, where no other is on it, and never comes whole.
+func TestWhatHasBegunToLeaveIsCutOff(t *testing.T) {
+	f, l, a, hear := stuck(t)
+	f.do(f.loop, func() { l.queue[0].DropUnsent() })
+	a.want(t, logic.NotSent)
+	if heard := hear(); len(heard) >= 32<<20 {
+		t.Errorf("the server read all %d bytes", len(heard))
+	}
+}
+
+// A server that moves while a connection to where it was comes up must not be sent to there: another may be there by now.
+func TestAServerMovesWhileAConnectionComesUp(t *testing.T) {
+	f, before := listening(t, usual)
+	other, after := listening(t, usual)
+	o := make(outcome, 1)
+	f.do(f.loop, func() { // in one round, so that the connection is not up yet
+		f.Execute(1, &router.Operation{Key: "k", ID: "a", Flags: "Oa"}, 5, 5, o)
+		f.Listed(1, other.servers[1].addr)
+		if links := f.servers[1].links; len(links) != 1 || links[0].addr != f.servers[1].addr { // the one before might never come up
+			t.Errorf("%d connections come up", len(links))
+		}
+	})
+	answer(t, <-after, "VA 0 Oa\r\n\r\n")
+	o.want(t, logic.Finished)
+	select {
+	case conn := <-before:
+		if heard, _ := io.ReadAll(conn); len(heard) > 0 {
+			t.Errorf("the address before was sent %q", heard)
+		}
+	default:
+	}
+}
+
+// A connection that is in use when its server moves is not used again.
+func TestAServerMovesWhileAnAnswerIsOut(t *testing.T) {
+	f, before := listening(t, usual)
+	other, after := listening(t, usual)
+	first, second := make(outcome, 1), make(outcome, 1)
+	f.do(f.loop, func() { f.Execute(1, &router.Operation{ID: "a", Flags: "Oa"}, 5, 5, first) })
+	old := <-before
+	f.do(f.loop, func() { f.Listed(1, other.servers[1].addr) })
+	answer(t, old, "VA 0 Oa\r\n\r\n")
+	first.want(t, logic.Finished)
+	f.do(f.loop, func() { f.Execute(1, &router.Operation{ID: "b", Flags: "Ob"}, 5, 5, second) })
+	answer(t, <-after, "VA 0 Ob\r\n\r\n")
+	second.want(t, logic.Finished)
+}
+
+// The sweep of idle connections comes late where the loop was stopped: an old one is not written to, for its server may be closing
+// it, and what it was sent may have run.
+func TestAnIdleConnectionIsNotUsedWhenItIsOld(t *testing.T) {
+	f, conns := listening(t, usual)
+	first, second := make(outcome, 1), make(outcome, 1)
+	f.do(f.loop, func() { f.Execute(1, &router.Operation{ID: "a", Flags: "Oa"}, 5, 5, first) })
+	old := <-conns
+	answer(t, old, "VA 0 Oa\r\n\r\n")
+	first.want(t, logic.Finished)
+	f.do(f.loop, func() {
+		f.servers[1].idle[0].since -= f.limits.Idle
+		f.Execute(1, &router.Operation{ID: "b", Flags: "Ob"}, 5, 5, second)
+	})
+	answer(t, <-conns, "VA 0 Ob\r\n\r\n")
+	second.want(t, logic.Finished)
+	if n, err := old.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("the old connection was sent %d bytes, %v", n, err)
+	}
+}
+
+// A reply that is said twice names no operation where it is a refusal. Right behind another reply it proves nothing to one that
+// must not run twice.
+func TestARefusalRightBehindAnotherReplyProvesNothing(t *testing.T) {
+	for _, c := range []struct {
+		once   bool
+		behind float64
+		want   logic.Outcome
+	}{{true, -1, logic.Unknown}, {false, -1, logic.TurnedAway}, {true, 1, logic.TurnedAway}} {
+		f, conns := listening(t, usual)
+		first, second := make(outcome, 1), make(outcome, 1)
+		f.do(f.loop, func() { f.Execute(1, &router.Operation{ID: "a", Flags: "Oa"}, 5, 5, first) })
+		conn := <-conns
+		answer(t, conn, "VA 0 Oa\r\n\r\n")
+		first.want(t, logic.Finished)
+		f.do(f.loop, func() {
+			f.servers[1].links[0].spoke = f.loop.Now() - c.behind
+			f.Execute(1, &router.Operation{ID: "b", Flags: "Ob", Once: c.once}, 5, 5, second)
+		})
+		answer(t, conn, "SERVER_ERROR busy\r\n")
+		second.want(t, c.want)
+	}
+}
+
+// At the bound, what waited for a connection is piped once it is up: it waited for the answers before it, or its own end.
+func TestWhatWaitsIsPipedOnceAConnectionIsUp(t *testing.T) {
+	limits := usual
+	limits.Connections = 1
+	f := serving(t, limits, func(net.Conn, string) {})
+	f.do(f.loop, func() { // in one round, so that all wait for the one connection
+		for _, key := range []string{"k1", "k2", "k3"} {
+			f.Execute(1, &router.Operation{Key: key, ID: "a", Flags: "Oa"}, 5, 5, make(outcome, 1))
+		}
+	})
+	for _, key := range []string{"k1", "k2", "k3"} { // the longest waiting first
+		f.line("mg " + key)
+	}
+}
+
+// Nothing is piped on a connection that its server has ended, though that is not heard of yet.
+func TestNothingIsPipedOnAConnectionThatHasEnded(t *testing.T) {
+	limits := usual
+	limits.Connections = 1
+	f, conns := listening(t, limits)
+	first, second := make(outcome, 1), make(outcome, 1)
+	f.do(f.loop, func() { f.Execute(1, &router.Operation{ID: "a", Flags: "Oa"}, 5, 5, first) })
+	old := <-conns
+	heard(t, old)
+	f.do(f.loop, func() { // the loop is held until the end has come
+		old.(*net.TCPConn).CloseWrite()
+		for l := f.servers[1].links[0]; !l.conn.Ended(); {
+			time.Sleep(time.Millisecond)
+		}
+		f.Execute(1, &router.Operation{ID: "b", Flags: "Ob"}, 5, 5, second)
+	})
+	first.want(t, logic.ConnectionLost)
+	answer(t, <-conns, "VA 0 Ob\r\n\r\n")
+	second.want(t, logic.Finished)
+	if more, _ := io.ReadAll(old); len(more) > 0 {
+		t.Errorf("the ended connection was sent %q", more)
+	}
+}
--- a/internal/caches/link.go
+++ b/internal/caches/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"net/netip"
 	"slices"
 
 	"bendtrestle/internal/router"
@@ -16,9 +17,13 @@
 	ended func(logic.Outcome, router.Result)
 	until float64
 	timer *sock.Timer
-	link  *link  // nil while it waits for one
-	end   uint64 // where its last byte stands in what its connection is sent
-	sent  bool   // it is counted as written
+	early bool     // its timer is for when it is to be written, which is before that
+	link  *link    // nil while it waits for one
+	parts [][]byte // of its command, not in its connection's buffer yet
+	begun bool     // some of it is or was there
+	start uint64   // where its first byte stands in what its connection is sent
+	end   uint64   // and where its last byte does
+	sent  bool     // it is counted as written
 	done  bool
 }
 
@@ -43,51 +48,65 @@
 	}
 }
 
-// overdue gives it up at its limit.
+// left tells whether any of it was written.
+func (a *attempt) left() bool { return a.link != nil && a.begun && a.link.conn.Sent() > a.start }
+
+// overdue gives it up at its limit, or where it was to be written by now and is not.
 func (a *attempt) overdue() {
-	if a.written() {
+	switch {
+	case !a.written():
+		a.giveUp(logic.NotSent)
+	case a.early:
+		a.early = false
+		a.timer.Set(a.until)
+	default:
 		a.giveUp(logic.NoAnswer)
 		a.on.closeIdle() // a machine cut off would be silent there too; a new connection tells within its timeout
-	} else {
-		a.giveUp(logic.NotSent)
 	}
 }
 
 // Drop gives it up.
 func (a *attempt) Drop() { a.giveUp(logic.Withdrawn) }
 
-// DropUnsent gives it up if it still waits for a connection.
+// DropUnsent gives it up if it still waits for a connection, or on one whose kernel takes no more: its operation is answered, or
+// its client has gone, and what is sent later is for nobody. One that has begun to leave goes on where that would end others.
 func (a *attempt) DropUnsent() {
-	if a.link == nil {
+	if !a.written() && (!a.left() || !a.link.carries(a)) {
 		a.giveUp(logic.NotSent)
 	}
 }
 
-// giveUp ends its connection, which tells the cache server; what is piped there ends with it.
+// giveUp ends its connection, which tells the cache server; what is piped there ends with it. What has not left is only taken
+// back, and a client that leaves does not end the executions of others.
 func (a *attempt) giveUp(how logic.Outcome) {
 	if a.done {
 		return
 	}
 	a.settle(how, router.Result{})
-	if a.link == nil {
+	switch l := a.link; {
+	case l == nil:
 		a.on.leave(a)
-	} else if a.link.passage == nil { // else a long value is before it, which must not be cut off
-		a.link.broken()
+	case l.takeBack(a):
+	case l.passage != nil: // a long value is before it, which must not be cut off
+	case how == logic.Withdrawn && l.carries(a):
+	default:
+		l.broken()
 	}
 }
 
 // link is one connection to a cache server.
 type link struct {
 	on      *server
+	addr    netip.AddrPort // where it leads
 	conn    *sock.Conn
 	timer   *sock.Timer // until it is up, then until a reply that has begun must have gone on
 	up      bool
 	wire    Wire
 	queue   []*attempt // out, in the order of their answers
 	passage *passage   // of the first of them
-	rest    [][]byte   // not in the connection's buffer yet
-	length  uint64     // of all that it was sent
+	length  uint64     // of all that its buffer was given
 	since   float64    // idle since then
+	spoke   float64    // when the last whole reply was read
 }
 
 // send writes an attempt's command.
@@ -98,20 +117,12 @@
 	}
 	a.link, a.end = l, math.MaxUint64
 	l.queue = append(l.queue, a)
-	for _, p := range l.wire.Command(a.op, a.until-s.f.loop.Now()) {
-		l.write(p)
-	}
-	a.end = l.length
+	a.parts = l.wire.Command(a.op, a.until-s.f.loop.Now())
+	l.fill()
 	a.count()
 }
 
-func (l *link) write(p []byte) {
-	l.length += uint64(len(p))
-	l.rest = append(l.rest, p)
-	l.Flushed()
-}
-
-// Flushed fills the connection's buffer with what waits.
+// Flushed goes on with what waits.
 func (l *link) Flushed() {
 	l.fill()
 	for _, a := range l.queue {
@@ -121,14 +132,52 @@
 	}
 }
 
+// fill gives the connection's buffer what waits, one command at a time: while none of it has left it can still be taken back.
 func (l *link) fill() {
-	for len(l.rest) > 0 {
-		n := l.conn.Write(l.rest[0])
-		if l.rest[0] = l.rest[0][n:]; len(l.rest[0]) > 0 {
+	for _, a := range l.queue {
+		if len(a.parts) == 0 {
+			continue
+		}
+		if !a.begun && l.conn.Unsent() > 0 {
 			return
 		}
-		l.rest = l.rest[1:]
+		if !a.begun {
+			a.begun, a.start = true, l.length
+		}
+		for len(a.parts) > 0 {
+			n := l.conn.Write(a.parts[0])
+			l.length += uint64(n)
+			if a.parts[0] = a.parts[0][n:]; len(a.parts[0]) > 0 {
+				return
+			}
+			a.parts = a.parts[1:]
+		}
+		a.end = l.length
+	}
+}
+
+// takeBack takes an attempt of which nothing has left from what is to be sent; false if some of it has.
+func (l *link) takeBack(a *attempt) bool {
+	i := slices.Index(l.queue, a)
+	if i < 0 || a.left() {
+		return false
+	}
+	if a.begun { // then the buffer holds nothing else
+		l.conn.TakeBack()
+		l.length = a.start
+	}
+	a.parts = nil
+	if l.queue = slices.Delete(l.queue, i, i+1); len(l.queue) == 0 {
+		l.on.free(l)
+	} else {
+		l.fill()
 	}
+	return true
+}
+
+// carries tells whether somebody waits for another execution on the connection.
+func (l *link) carries(but *attempt) bool {
+	return slices.ContainsFunc(l.queue, func(a *attempt) bool { return a != but && !a.done })
 }
 
 // Opened takes the end of a dial.
@@ -138,6 +187,7 @@
 	l.up = true
 	l.on.coming--
 	l.on.free(l)
+	l.on.spread()
 }
 
 // neverUp takes the time by which a connection should have come up.
@@ -174,7 +224,7 @@
 		l.conn.Forget()
 	}
 	l.close()
-	l.on.dial()
+	l.on.spread()
 }
 
 // close forgets the connection.
@@ -239,6 +289,10 @@
 	l.broken()
 }
 
+// second is how long after a reply another may come of the same command, in seconds: the slack that the protocol allows to all
+// that is late.
+const second = 0.05
+
 // Answered settles the attempt whose turn it is. One that is not written yet, or a reply with none out, leaves
 // the connection in no known state.
 func (l *link) Answered(how logic.Outcome, with router.Result, more bool) {
@@ -248,7 +302,11 @@
 	}
 	a := l.queue[0]
 	l.queue = l.queue[1:]
-	whole := a.written()
+	whole, now := a.written(), l.on.f.loop.Now()
+	if how == logic.TurnedAway && a.op != nil && a.op.Once && now-l.spoke < second {
+		how = logic.Unknown // it may be the reply before, said twice: this names no operation, and proves nothing
+	}
+	l.spoke = now
 	a.settle(how, with)
 	switch {
 	case !whole || !more:
--- a/internal/lab/baseline/baseline.go
+++ b/internal/lab/baseline/baseline.go
@@ -238,7 +238,7 @@
 			op.out++
 			s.out++
 			m.flying++
-			m.host.Execute(op.id, s.ID, op.hardStop-now)
+			m.host.Execute(op.id, s.ID, op.hardStop-now, op.hardStop-now)
 			return
 		}
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -20,6 +20,7 @@
 	Write             bool
 	Value             []byte  // of a write
 	Left              float64 // seconds until the client gives up
+	Once              bool    // a repeat may have an effect; set here
 	Account           Account // told what becomes of it; nil: nobody is
 }
 
@@ -98,12 +99,13 @@
 // Pending is an execution that has not settled.
 type Pending interface {
 	Drop()       // give it up; it settles as Withdrawn
-	DropUnsent() // give it up if nothing of it has been sent; it settles as NotSent
+	DropUnsent() // give it up if it has not been sent; it settles as NotSent
 }
 
 // Caches makes executions and probes at cache servers, named by their ids.
 type Caches interface {
-	Execute(server uint64, op *Operation, limit float64, x Execution) Pending
+	// Execute gives it up after limit, or where it is not written after within.
+	Execute(server uint64, op *Operation, limit, within float64, x Execution) Pending
 	Probe(server uint64, ended func(logic.Outcome))
 }
 
@@ -159,6 +161,7 @@
 	last   uint64
 	zones  map[uint64]string  // of servers, while somebody wants to know
 	times  map[string]float64 // promised, by traffic type
+	again  map[string]bool    // the traffic types whose operations may simply be repeated
 	Counts Counts
 }
 
@@ -195,9 +198,9 @@
 }
 
 func (r *Router) promise(types []logic.TrafficType) {
-	r.times = map[string]float64{}
+	r.times, r.again = map[string]float64{}, map[string]bool{}
 	for _, t := range types {
-		r.times[t.Name] = t.PromisedTime
+		r.times[t.Name], r.again[t.Name] = t.PromisedTime, t.Effect == logic.Reissuable
 	}
 }
 
@@ -208,6 +211,7 @@
 func (r *Router) Taken(op *Operation, client Client) uint64 {
 	r.last++
 	r.Counts.Taken++
+	op.Once = !r.again[op.Kind]
 	o := &operation{Operation: op, r: r, id: r.last, client: client}
 	r.ops[o.id] = o
 	r.guard(o, func() {
@@ -340,7 +344,7 @@
 // The host's side.
 
 // Execute begins an execution.
-func (r *Router) Execute(id, server uint64, limit float64) {
+func (r *Router) Execute(id, server uint64, limit, within float64) {
 	o := r.ops[id]
 	x := &execution{of: o, n: len(o.executions), began: r.Clock.Now()}
 	o.executions = append(o.executions, x)
@@ -353,7 +357,7 @@
 	if x.zone = r.zones[server]; r.Zones != nil && x.zone != "" {
 		x.mark = r.Zones.Began(x.zone, r.times[o.Kind])
 	}
-	x.pending = r.Caches.Execute(server, o.Operation, limit, x)
+	x.pending = r.Caches.Execute(server, o.Operation, limit, within, x)
 }
 
 // Withdraw stops waiting for an execution.
--- a/internal/sock/conn.go
+++ b/internal/sock/conn.go
@@ -194,6 +194,12 @@
 // Unsent is how many bytes wait to be taken by the kernel.
 func (c *Conn) Unsent() int { return c.out.Len() }
 
+// TakeBack drops what the kernel has not taken.
+func (c *Conn) TakeBack() {
+	c.out.Drop(c.out.Len())
+	c.await()
+}
+
 // Deepen lets the kernel hold so many bytes more that the other side has not read, as far as it allows: it goes on sending them when
 // this process has ended.
 func (c *Conn) Deepen(bytes int) {
@@ -243,6 +249,12 @@
 	return err == nil && n > 0
 }
 
+// Ended tells whether the other side has ended the connection and the socket holds nothing before that.
+func (c *Conn) Ended() bool {
+	n, err := c.peek()
+	return n == 0 && err != unix.EAGAIN && err != unix.EINTR
+}
+
 func (c *Conn) peek() (int, error) {
 	var one [1]byte
 	n, _, err := unix.Recvfrom(c.fd, one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -219,7 +219,7 @@
 
 // The host's side: each call is a line of the reply.
 
-func (i *instance) Execute(operation, server uint64, limit float64) {
+func (i *instance) Execute(operation, server uint64, limit, _ float64) {
 	i.s.line("CALL_OUT").uint("router", i.id).uint("txn", operation).uint("server", server).
 		time("limit", limit).end()
 }
--- a/logic/host.go
+++ b/logic/host.go
@@ -5,7 +5,8 @@
 // Host is what the module acts through. Whoever runs an instance hands it one at start; ids are those of
 // the calls into the module. Times are seconds.
 type Host interface {
-	Execute(operation, server uint64, limit float64)          // begin an execution, given up after limit
+	// Execute begins an execution, given up after limit, or where it has not been written after within.
+	Execute(operation, server uint64, limit, within float64)
 	Withdraw(operation uint64, n int)                         // stop waiting for the operation's n-th execution
 	Decline(operation uint64, retryAfter float64, why Reason) // final answer: trying again is harmless
 	Terminate(operation uint64)                               // final answer: promises nothing
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -570,7 +570,13 @@
 	if s.fails > 0 && *op.purse >= 1 && latest > op.row.lag && op.row.Effect == Reissuable {
 		limit = min(limit, latest)
 	}
-	r.host.Execute(op.id, s.ID, limit)
+	within := limit // a repeat is dropped within its window alone: it must not wait for a connection beyond that
+	for _, x := range op.executions[:e.n] {
+		if op.row.Effect == Numbered && !x.harmless {
+			within = min(within, x.sent+op.row.Window-r.now)
+		}
+	}
+	r.host.Execute(op.id, s.ID, limit, within)
 }
 
 // Began takes the start of a stream: there is no hard stop from here on, and no other execution.
