Answer all that is open before the end, and let clients read it: shutdown's crossings

Lines before: service.go expire ended the process whatever was open, 0.7 s after the longest hard stop, 0 where a type states none, so a client's operation was cut off without an answer; endIfDone closed connections with input unread behind the answer, which the kernel turns into a reset: of 512 KiB owed to a slow reader most were lost (front.go closeIfIdle). front.go Input took commands whose client's end lay behind them, in the socket, in the backlog or behind 32 owed answers: after a pause of the loop they were sent on long after it had left. obey read SIGHUP's file before it looked at the next signal: a disk that hung hid SIGTERM, and nine signals filled the queue, so that SIGTERM was lost. A SIGHUP before service.Run ended the process by default, and so did SIGPIPE once nobody read the log. reconfigure opened listeners after SIGTERM. A new process told to end before the old one kept it from accepting until it had finished (succession.go Lost), and then both had all places. Now: what is taken after SIGTERM has its answer before the process ends, what is open then is answered, connections are ended by a half-close and read on for up to 0.5 s, within the same places. Tests in crossings_test.go of front and service, and a real process in cmd/bendtrestle; each mend taken out in turn fails one.

--- /dev/null
+++ b/cmd/bendtrestle/main_test.go
@@ -0,0 +1,97 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// TestMain makes this test program the router where it is told to be one.
+func TestMain(m *testing.M) {
+	if os.Getenv("AS_ROUTER") != "" {
+		os.Args = os.Args[:1]
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// A process whose log nobody reads any more serves on, and a SIGHUP that comes while it starts, or with SIGTERM behind it, does not
+// end it otherwise than SIGTERM does.
+func TestAProcessOutlivesItsLogAndASignalWhileItStarts(t *testing.T) {
+	server, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer server.Close()
+	go func() {
+		for conn, err := server.Accept(); err == nil; conn, err = server.Accept() {
+			go func() {
+				for in := bufio.NewScanner(conn); in.Scan(); {
+					fmt.Fprintf(conn, "VA 2 %s h1\r\nhi\r\n", strings.Fields(in.Text())[3])
+				}
+			}()
+		}
+	}()
+	list := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.RawQuery != "" {
+			<-r.Context().Done()
+		}
+		fmt.Fprintf(w, `{"generation":1,"reset":true,"instances":[{"instanceId":"s-1","hostPort":"%s","lifecycle":"ready"}]}`, server.Addr())
+	}))
+	defer list.Close()
+	defer list.CloseClientConnections()
+	free, _ := net.Listen("tcp", "127.0.0.1:0")
+	addr := free.Addr().String()
+	free.Close()
+	// The file is a pipe: the start waits for it, and the signal comes meanwhile.
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := syscall.Mkfifo(path, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	unread, log, _ := os.Pipe()
+	unread.Close()
+	router := exec.Command(os.Args[0])
+	router.Env = append(os.Environ(), "AS_ROUTER=1", "GW_CONFIG="+path, "TMPDIR="+t.TempDir())
+	router.Stderr = log
+	if err := router.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer router.Process.Kill()
+	config, err := os.OpenFile(path, os.O_WRONLY, 0) // goes on once the router reads
+	if err != nil {
+		t.Fatal(err)
+	}
+	router.Process.Signal(syscall.SIGHUP)
+	time.Sleep(50 * time.Millisecond) // a process that dies of it has done so by then
+	fmt.Fprintf(config, `{"listen":"%s","discovery":"%s","settings":{"trafficTypes":[{"name":"t","effect":"retryable","promisedTime":1e9,"hardStop":2e9,"benefit":1}]}}`,
+		addr, list.Listener.Addr())
+	config.Close()
+	got := ""
+	for i := 0; i < 500 && !strings.HasPrefix(got, "VA 2 Oa"); i++ {
+		if conn, err := net.Dial("tcp", addr); err == nil {
+			conn.SetDeadline(time.Now().Add(2 * time.Second))
+			fmt.Fprintf(conn, "mg k v Oa%d Pc=t\r\n", i)
+			got, _ = bufio.NewReader(conn).ReadString('\n')
+			conn.Close()
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	if !strings.HasPrefix(got, "VA 2 Oa") {
+		t.Errorf("it answers %q", got)
+	}
+	router.Process.Signal(syscall.SIGHUP)
+	router.Process.Signal(syscall.SIGTERM)
+	if err := router.Wait(); err != nil {
+		t.Errorf("it ended as %v", err)
+	}
+}
--- a/cmd/trestlelab/main.go
+++ b/cmd/trestlelab/main.go
@@ -268,6 +268,7 @@
 			return faulty(err)
 		}
 	}
+	signals := service.Signals()
 	read := func() (service.Setup, error) {
 		theirs, err := operators.Read(os.Getenv("GW_OPERATORS"))
 		conf, other := config.Read(os.Getenv)
@@ -277,5 +278,5 @@
 	if err != nil {
 		return faulty(err)
 	}
-	return service.Run(set, module, read, zerolog.New(os.Stderr).With().Timestamp().Logger())
+	return service.Run(set, signals, module, read, zerolog.New(os.Stderr).With().Timestamp().Logger())
 }
--- /dev/null
+++ b/internal/front/crossings_test.go
@@ -0,0 +1,168 @@
+package front
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"bendtrestle/logic"
+
+	"golang.org/x/sys/unix"
+)
+
+// ends ends a client's sending and waits until the other side's kernel knows.
+func ends(t *testing.T, conn net.Conn) {
+	t.Helper()
+	conn.(*net.TCPConn).CloseWrite()
+	raw, _ := conn.(*net.TCPConn).SyscallConn()
+	const finWait2 = 5 // of the kernel's states
+	for i := 0; ; i++ {
+		state := uint8(0)
+		raw.Control(func(fd uintptr) {
+			if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+				state = info.State
+			}
+		})
+		if state == finWait2 {
+			return
+		}
+		if i > 5000 {
+			t.Fatalf("the end is not taken, state %d", state)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// A client leaves while its command waits, unread in the socket, behind its connection being accepted, or behind the answers that are
+// owed to it: nothing is sent on for it, in the very round in which its end is there to be seen.
+func TestACommandWithItsClientsEndBehindItIsNotTaken(t *testing.T) {
+	for name, cross := range map[string]func(s served) func(){
+		"unread in the socket": func(s served) func() {
+			conn, in := s.dial()
+			fmt.Fprintf(conn, "mn\r\n")
+			want(t, in, "SERVER_ERROR starting\r\n")
+			return func() {
+				fmt.Fprintf(conn, "mg k v O1 Pc=t\r\n")
+				ends(t, conn)
+			}
+		},
+		"not yet accepted": func(s served) func() {
+			return func() {
+				conn, _ := s.dial()
+				fmt.Fprintf(conn, "mg k v O1 Pc=t\r\nmg k v O2 Pc=t\r\n")
+				ends(t, conn)
+			}
+		},
+		"behind what is owed": func(s served) func() {
+			conn, _ := s.dial()
+			var commands strings.Builder
+			for i := range unread + 8 {
+				fmt.Fprintf(&commands, "mg k v O%d Pc=t\r\n", i)
+			}
+			io.WriteString(conn, commands.String())
+			var all []*held
+			for range unread {
+				all = append(all, <-s.began)
+			}
+			return func() {
+				ends(t, conn)
+				for _, h := range all { // each answer makes room for another command
+					h.x.Settled(logic.Finished, made)
+				}
+			}
+		},
+	} {
+		s := serve(t, ample)
+		s.do(cross(s))
+		s.do(func() {})
+		s.do(func() {
+			if n := len(s.began); n > 0 || len(s.clients) > 0 {
+				t.Errorf("%s: %d executions began for who had left, %d connections stay", name, n, len(s.clients))
+			}
+		})
+	}
+}
+
+// A connection that is closed with input unread is reset by the kernel, and what its client has not read yet is lost: a good answer
+// before the bad command that ends it, too. Here the client reads only once the front is done with it.
+func TestWhatWasSaidIsReadThoughMoreComes(t *testing.T) {
+	s := serve(t, bounds{Limits{Connections: 10}, 1000, 8 << 20})
+	narrow := net.Dialer{Control: func(_, _ string, c syscall.RawConn) error { // so that most of the answers wait on the other side
+		return c.Control(func(fd uintptr) { unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, 4096) })
+	}}
+	conn, err := narrow.Dial("tcp", s.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(5 * time.Second))
+	const answers, length = 8, 64 << 10
+	for i := range answers {
+		fmt.Fprintf(conn, "mg k v O%d Pc=t\r\n", i)
+	}
+	io.WriteString(conn, strings.Repeat("nonsense\r\n", faults)+strings.Repeat("x", 5*16<<10)) // more than a connection's buffer
+	for range answers {
+		s.finish(<-s.began, strings.Repeat("v", length))
+	}
+	for open := 1; open > 0; time.Sleep(time.Millisecond) {
+		s.do(func() { open = len(s.clients) })
+	}
+	s.do(func() {}) // the rounds in which a socket that is closed is let go of
+	s.do(func() {})
+	all, err := io.ReadAll(conn)
+	if err != nil || len(all) < answers*length || !strings.HasSuffix(string(all), strings.Repeat("ERROR\r\n", faults)) {
+		t.Errorf("it reads %d bytes, then %v", len(all), err)
+	}
+}
+
+// Who ends does not wait for ever for a client that does not, and counts it meanwhile.
+func TestAnEndedClientThatStaysIsLetGo(t *testing.T) {
+	s := serve(t, ample)
+	conn, in := s.dial()
+	fmt.Fprintf(conn, "mn\r\n")
+	want(t, in, "SERVER_ERROR starting\r\n")
+	s.do(s.Leave)
+	if _, err := in.ReadByte(); err != io.EOF {
+		t.Errorf("it is not told of the end: %v", err)
+	}
+	s.do(func() {
+		if n := s.loop.Finishing(); n != 1 || len(s.clients) > 0 {
+			t.Errorf("%d connections wait for their clients' ends, %d are open", n, len(s.clients))
+		}
+		s.limits = Limits{Connections: 1}
+		if s.Room() {
+			t.Error("it takes no place while it waits")
+		}
+	})
+	for i := 0; ; i++ {
+		n := 0
+		if s.do(func() { n = s.loop.Finishing() }); n == 0 {
+			return
+		}
+		if i > 500 {
+			t.Fatal("it is waited for for ever")
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// While the process ends what is taken has its answer before that, and what comes too late has it at once.
+func TestWhatComesBeforeTheEndIsAnsweredByThen(t *testing.T) {
+	s := serve(t, ample)
+	conn, in := s.dial()
+	s.do(func() { s.Until(s.loop.Now() + 100) })
+	fmt.Fprintf(conn, "mg k v O1 Pc=t,d=900000\r\n")
+	h := <-s.began
+	if h.op.Left > 100 {
+		t.Errorf("it may take %v s", h.op.Left)
+	}
+	s.finish(h, "x")
+	want(t, in, "VA 1 O1\r\nx\r\n")
+	s.do(func() { s.Until(s.loop.Now() - 1) })
+	fmt.Fprintf(conn, "mg k v O2 Pc=t,d=900000\r\n")
+	want(t, in, "SERVER_ERROR busy\r\n")
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -27,6 +27,7 @@
 	settled   = 1    // seconds without a byte, after which a connection that has been used is not needed now
 	arriving  = 0.1  // the same where a place is sought, also for one that has just come: it means to send at once
 	kept      = 2    // seconds that an idle connection is kept; where half of the places are taken, settled
+	lasts     = 0.5  // seconds in which a client may read what it was last told, and end its side: far more than a round trip
 	faults    = 3    // commands that can't be used, after which a connection ends: a person may mistype
 	recent    = 4096 // ids remembered: the operations of some seconds at a thousand a second
 	over      = -1.0 // of an operation's time: its client waits no longer
@@ -61,6 +62,7 @@
 	ready    bool              // mn is answered MN
 	drain    bool              // it is not, for clients are sent away
 	leaving  bool              // connections are closed as they become idle
+	until    float64           // by when all is to be answered, for the process ends; 0: it does not
 	salt     maphash.Seed
 	ids      [recent]struct {
 		hash  uint64
@@ -186,6 +188,9 @@
 	return Tally{}
 }
 
+// Until sets when the process ends: what is taken from now on has its final answer by then.
+func (f *Front) Until(at float64) { f.until = at }
+
 // Open is how many operations were taken and have not ended: their last byte has not left.
 func (f *Front) Open() int { return f.open }
 
@@ -196,7 +201,9 @@
 func (f *Front) Clients() int { return len(f.clients) }
 
 // Room tells whether another connection may be accepted.
-func (f *Front) Room() bool { return len(f.clients) < f.limits.Connections+f.limits.Spare }
+func (f *Front) Room() bool {
+	return len(f.clients)+f.loop.Finishing() < f.limits.Connections+f.limits.Spare
+}
 
 // At gives what takes the connections of a listener, which has a name and a protocol.
 func (f *Front) At(listener string, protocol Protocol) func(*sock.Conn) sock.Handler {
@@ -306,8 +313,13 @@
 // Opened is for dialled connections.
 func (c *Client) Opened() {}
 
-// Input reads commands while not too many answers are owed.
+// Input reads commands while not too many answers are owed. Of who has ended the connection behind them none is taken: they may
+// have waited in the socket, or for the connection to be accepted, and nobody waits for them any more.
 func (c *Client) Input() {
+	if c.conn.Ended() {
+		c.close()
+		return
+	}
 	c.used = c.f.loop.Now()
 	fresh := !c.codec.Begun()
 	for c.conn.In.Len() > 0 && !c.full() && !c.ending {
@@ -389,6 +401,10 @@
 	if most > 0 {
 		op.Left = min(op.Left, most)
 	}
+	if f.until > 0 {
+		op.Left = min(op.Left, f.until-f.loop.Now())
+		late = late || op.Left <= 0
+	}
 	full := c.surplus || !route.Room()
 	if !full && op.ID != "" && f.repeated(op.ID, op.Left) {
 		return false
@@ -558,10 +574,16 @@
 func (c *Client) closeIfIdle() {
 	fresh := !c.useful && c.f.loop.Now()-c.came < settled // it came to send at once: closed now, it would have come for nothing
 	if c.f.clients[c] && c.idle() && (c.ending || c.f.leaving && !fresh) {
-		c.close()
+		c.finish()
 	}
 }
 
+// finish ends the connection so that its client reads all it was told, also if it goes on sending.
+func (c *Client) finish() {
+	c.conn.Finish(lasts)
+	c.Closed()
+}
+
 func (c *Client) close() {
 	c.conn.Close()
 	c.Closed()
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -126,6 +126,9 @@
 	}
 }
 
+// made is what a cache server made.
+var made = router.Result{Value: []byte("x")}
+
 var ample = bounds{Limits{Connections: 10}, 1000, 1 << 20}
 
 func TestAnswersInTheOrderOfTheCommands(t *testing.T) {
--- a/internal/lab/helpers_test.go
+++ b/internal/lab/helpers_test.go
@@ -44,7 +44,7 @@
 	if err != nil {
 		panic(err)
 	}
-	if err = service.Run(set, make, read, zerolog.New(os.Stderr).With().Timestamp().Logger()); err != nil {
+	if err = service.Run(set, service.Signals(), make, read, zerolog.New(os.Stderr).With().Timestamp().Logger()); err != nil {
 		panic(err)
 	}
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -5,7 +5,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"runtime/debug"
+	"slices"
 
 	"bendtrestle/logic"
 
@@ -388,6 +390,13 @@
 	}
 }
 
+// End gives what has no final answer one, in the order in which it came: the process ends.
+func (r *Router) End() {
+	for _, id := range slices.Sorted(maps.Keys(r.ops)) {
+		r.Terminate(id)
+	}
+}
+
 // Tell sends words to the peers.
 func (r *Router) Tell(words []byte) { r.Outside.Tell(words) }
 
--- a/internal/service/crossings_test.go
+++ b/internal/service/crossings_test.go
@@ -1,10 +1,20 @@
 package service
 
 import (
+	"errors"
 	"fmt"
+	"io"
+	"net"
+	"os"
+	"strings"
+	"syscall"
 	"testing"
+	"time"
 
 	"bendtrestle/internal/discovery"
+	"bendtrestle/internal/operators"
+
+	"github.com/rs/zerolog"
 )
 
 // members gives a list that names s-1 and s-2 at an address, the first in a state.
@@ -50,3 +60,94 @@
 		return true
 	})
 }
+
+// A disk that hangs while SIGHUP's file is read must not hide SIGTERM, however many SIGHUPs came before it.
+func TestSIGTERMIsHeardWhileAFileIsRead(t *testing.T) {
+	s, _, ended := running(t, fleet(t, 0))
+	signals, read := make(chan os.Signal), make(chan bool)
+	defer close(read)
+	go s.obey(signals, func() (Setup, error) { <-read; return Setup{}, errors.New("never") })
+	for range 20 {
+		signals <- syscall.SIGHUP
+	}
+	signals <- syscall.SIGTERM
+	select {
+	case <-ended:
+	case <-time.After(10 * time.Second):
+		t.Error("it does not end")
+	}
+	close(signals)
+}
+
+// A configuration that comes after SIGTERM, or in one round with it, moves the list service and opens nothing.
+func TestAConfigurationAfterTheEndBegan(t *testing.T) {
+	s, _, _ := running(t, fleet(t, 0))
+	set := Setup{Platform: s.conf, Operators: operators.File{Teams: []operators.Team{{Name: "late", Listen: freeAddress(t), Budget: 1}}}}
+	set.Platform.Discovery = "127.0.0.1:1"
+	on(s, func() bool {
+		s.leave()
+		s.reconfigure(set)
+		if len(s.listeners) > 0 || s.broker.Revision() > 0 || s.platform.next == nil || s.platform.next.addr != "127.0.0.1:1" {
+			t.Errorf("%d listeners, revision %d, it goes on to %+v", len(s.listeners), s.broker.Revision(), s.platform.next)
+		}
+		return true
+	})
+}
+
+// Every cache server hangs, and a traffic type has no hard stop: what is still open when the process must end has its answer first, and
+// all of that can be read.
+func TestAllThatIsOpenAtTheEndIsAnswered(t *testing.T) {
+	list := giving(t, func(net.Conn, string, string) {})
+	s, addr, err := assembled(strings.Replace(usual, `"hardStop":2000000000,`, "", 1), list, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- s.loop.Run() }()
+	serving(t, s)
+	conn, in := asking(t, addr, "a", "")
+	fmt.Fprintf(conn, "mg k1 v Oa Pc=t,d=60000\r\nmg k2 v Ob Pc=t,d=60000\r\n")
+	until(t, "both operations", s, func() bool { return s.front.Open() == 2 })
+	s.loop.Post(s.leave)
+	until(t, "the end's second part", s, func() bool { return s.phase == Finishing })
+	fmt.Fprintf(conn, "mg k3 v Oc Pc=t,d=60000\r\n")
+	all, err := io.ReadAll(in)
+	if lines := strings.Split(string(all), "\r\n"); err != nil || len(lines) != 4 || strings.Count(string(all), "SERVER_ERROR ") != 3 {
+		t.Errorf("three operations were answered by %q, %v", all, err)
+	}
+	<-ended
+}
+
+// The new process is told to end before the old one: the old one accepts again at once, not once the new one has finished what it has.
+func TestTheNewProcessIsToldToEndFirst(t *testing.T) {
+	held := make(chan bool)
+	list := giving(t, func(conn net.Conn, id, key string) {
+		if key == "later" {
+			<-held
+		}
+		fmt.Fprintf(conn, "VA 2 O%s h1\r\nhi\r\n", id)
+	})
+	addr, shared := freeAddress(t), t.TempDir()
+	old, _ := next(t, addr, list, shared)
+	serving(t, old)
+	heir, _ := next(t, addr, list, shared)
+	serving(t, heir)
+	until(t, "the hand-over", old, func() bool { return old.heirs == 1 })
+	_, in := asking(t, addr, "a", "later")
+	until(t, "the operation", heir, func() bool { return heir.front.Open() == 1 })
+	heir.loop.Post(heir.leave)
+	until(t, "the end's second part", heir, func() bool { return heir.phase == Finishing })
+	if got := ask(addr, "mg k v Ob Pc=t,d=1900"); got != "VA 2 Ob" || on(heir, func() Phase { return heir.phase }) != Finishing {
+		t.Errorf("while the new process finishes it answers %q", got)
+	}
+	on(old, func() bool {
+		if old.beside != 1 {
+			t.Error("the old process takes all places while the new one still has connections")
+		}
+		return true
+	})
+	close(held)
+	if line, _ := in.ReadString('\n'); line != "VA 2 Oa h1\r\n" && line != "VA 2 Oa\r\n" {
+		t.Errorf("what the new process had taken is answered %q", line)
+	}
+}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -2,6 +2,7 @@
 package service
 
 import (
+	"cmp"
 	"maps"
 	"math"
 	"os"
@@ -46,6 +47,8 @@
 const (
 	lingering = 0.5 // new connections go on coming for up to 0.4 s after SIGTERM
 	margin    = 0.7 // SIGKILL comes no sooner than the longest hard stop and this after SIGTERM
+	answering = 0.1 // before that, for the last answers to go out and be read
+	unstated  = 1   // seconds that a client of a type without a hard stop is taken to wait, as in front
 	passing   = 30  // beyond that, for long values: 4 MiB to a client that takes seconds
 	counting  = 10  // between two lines of counts in the log
 	mostShown = 20  // teams in each: those that took operations since the last, as many as a person reads
@@ -97,8 +100,17 @@
 	Flat      float64 // of a laboratory: what every operation counts of a budget, whatever it takes
 }
 
+// Signals are kept for Run from now on: one that comes before the configuration is read must not end the process as it does by
+// default, nor may a log that nobody reads any more.
+func Signals() <-chan os.Signal {
+	signals := make(chan os.Signal, 8)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	signal.Ignore(syscall.SIGPIPE)
+	return signals
+}
+
 // Run serves until the router has ended; module starts its decisions, again reads the configuration anew.
-func Run(set Setup, module router.Maker, again func() (Setup, error), log zerolog.Logger) error {
+func Run(set Setup, signals <-chan os.Signal, module router.Maker, again func() (Setup, error), log zerolog.Logger) error {
 	conf := set.Platform
 	// Two at least: with one, the runtime's monitor finds none idle and takes it from the loop at each wait for events.
 	runtime.GOMAXPROCS(max(2, int(math.Ceil(conf.Cores))))
@@ -106,8 +118,6 @@
 	if err := sock.LogTo(log.With().Str("level", "warn").Logger()); err != nil {
 		return err
 	}
-	signals := make(chan os.Signal, 8)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	s, err := assemble(set, module, log)
 	if err != nil {
 		return err
@@ -119,16 +129,28 @@
 // confine bounds the runtime's memory. The kernel's buffers of a thousand sockets may count as well, at some 64 KiB each.
 func confine(conf config.Config) { debug.SetMemoryLimit(int64(conf.Memory) / 2) }
 
-// obey takes signals. Files are read here, off the loop.
+// obey takes signals. Files are read off the loop, and beside this: a disk that hangs must not hide that the process is to end.
 func (s *Service) obey(signals <-chan os.Signal, again func() (Setup, error)) {
+	asked := make(chan bool, 1)
+	defer close(asked)
+	go func() {
+		for range asked {
+			if set, err := again(); err != nil {
+				s.log.Error().Err(err).Msg("the new configuration cannot be used; the old one stays")
+				s.loop.Post(func() { s.invalid++ })
+			} else {
+				s.loop.Post(func() { s.reconfigure(set) })
+			}
+		}
+	}()
 	for sig := range signals {
 		if sig != syscall.SIGHUP {
 			s.loop.Post(s.leave)
-		} else if set, err := again(); err != nil {
-			s.log.Error().Err(err).Msg("the new configuration cannot be used; the old one stays")
-			s.loop.Post(func() { s.invalid++ })
-		} else {
-			s.loop.Post(func() { s.reconfigure(set) })
+			continue
+		}
+		select {
+		case asked <- true:
+		default: // one that waits will read what this one would
 		}
 	}
 }
@@ -139,6 +161,12 @@
 		return
 	}
 	conf := set.Platform
+	if s.phase >= Leaving { // drains still count; listeners and contracts that come now would be nobody's
+		s.log.Info().Str("discovery", conf.Discovery).Msg("configured anew while leaving: the list service alone counts")
+		s.conf.Discovery = conf.Discovery
+		s.platform.follow(conf.Discovery)
+		return
+	}
 	if keys := s.conf.Restart(conf); len(keys) > 0 {
 		s.log.Warn().Strs("keys", keys).Msg("these changes need a restart; the old values stay")
 	}
@@ -232,35 +260,59 @@
 		late = 0
 	}
 	s.loop.After(late, s.finish)
-	longest := 0.0
+	at := s.loop.Now() + s.longest() + margin - answering
+	s.front.Until(at)
+	s.loop.Timer(func() { s.expire(at + passing) }).Set(at)
+}
+
+// longest is how long a client waits at most.
+func (s *Service) longest() float64 {
+	longest := s.broker.LongestStop()
 	for _, t := range s.conf.Settings.TrafficTypes {
-		longest = max(longest, t.HardStop)
+		longest = max(longest, cmp.Or(t.HardStop, unstated))
 	}
-	s.loop.After(max(longest, s.broker.LongestStop())+margin, func() { s.expire(s.loop.Now() + passing) })
+	return longest
 }
 
 // expire ends the router whatever is open, but for long values on their way: what is killed meanwhile would have been cut off.
 func (s *Service) expire(latest float64) {
 	if s.front.Passing() == 0 || s.loop.Now() > latest {
-		s.end()
+		s.answer()
 		return
 	}
 	s.loop.After(0.1, func() { s.expire(latest) })
 }
 
+// answer gives all that is open its final answer, declines what still comes, and ends the process once clients have had time
+// to read that.
+func (s *Service) answer() {
+	s.platform.router.End()
+	for _, p := range s.pools {
+		p.router.End()
+	}
+	for _, p := range s.leaving {
+		p.router.End()
+	}
+	s.loop.After(answering/2, s.front.Shut)
+	s.loop.After(answering, s.end)
+}
+
 // finish takes no more connections and closes those that are idle, as they become so.
 func (s *Service) finish() {
 	s.listener.Close()
 	for _, l := range s.listeners {
 		l.Close()
 	}
+	if s.before != nil && s.heirs == 0 { // the process before this one is the only one left that can accept
+		s.part()
+	}
 	s.enter(Finishing)
 	s.front.Leave()
 	s.endIfDone()
 }
 
 func (s *Service) endIfDone() {
-	if s.front.Clients() == 0 {
+	if s.front.Clients() == 0 && s.loop.Finishing() == 0 {
 		s.end()
 		return
 	}
--- a/internal/service/succession.go
+++ b/internal/service/succession.go
@@ -236,9 +236,12 @@
 		if s.phase == Ended {
 			return
 		}
-		if s.alongside(-1); !served {
+		if !served {
+			s.alongside(-1)
 			return
 		}
+		// It may be ending what it had taken, and has its part of the limits until then.
+		s.loop.After(s.longest()+margin, func() { s.alongside(-1) })
 		if s.heirs--; s.heirs > 0 || s.phase >= Leaving {
 			return
 		}
--- a/internal/sock/conn.go
+++ b/internal/sock/conn.go
@@ -34,6 +34,7 @@
 	paused  bool
 	waiting bool // for the socket to take more
 	closed  bool
+	ending  *Timer // set by Finish: the handler hears nothing more
 	failed  bool   // which is on its way to the handler
 	sent    uint64 // bytes that the kernel has taken
 }
@@ -114,6 +115,10 @@
 	c.op.InputAck = func(n int) error {
 		if n > 0 {
 			c.In.Fill(n)
+			if c.ending != nil {
+				c.In.Drop(c.In.Len())
+				return nil
+			}
 			c.loop.do(func() {
 				if !c.closed {
 					c.h.Input()
@@ -136,7 +141,7 @@
 
 // left takes what the kernel has taken.
 func (c *Conn) left(n int) {
-	if c.closed || n <= 0 {
+	if c.closed || c.ending != nil || n <= 0 {
 		return
 	}
 	c.out.Drop(n)
@@ -252,7 +257,7 @@
 // Ended tells whether the other side has ended the connection and the socket holds nothing before that.
 func (c *Conn) Ended() bool {
 	n, err := c.peek()
-	return n == 0 && err != unix.EAGAIN && err != unix.EINTR
+	return err == nil && n == 0 || err != nil && err != unix.EAGAIN && err != unix.EINTR
 }
 
 func (c *Conn) peek() (int, error) {
@@ -266,15 +271,39 @@
 	if c.closed {
 		return
 	}
-	c.Close()
-	c.loop.Later(c.h.Closed)
+	told := c.ending == nil
+	if c.Close(); told {
+		c.loop.Later(c.h.Closed)
+	}
+}
+
+// Finish ends the sending, and the connection once the other side has ended, too, or after so many seconds: if it is closed with
+// input unread, or some comes just then, the kernel resets it, and what the other side has not read yet may be lost to it. What
+// still comes is let go of, and the handler hears nothing more. What had not been written is lost, as by Close.
+func (c *Conn) Finish(within float64) {
+	if c.closed || c.ending != nil {
+		return
+	}
+	if c.failed || c.out.Len() > 0 {
+		c.Close()
+		return
+	}
+	c.ending = c.loop.Timer(c.Close)
+	c.ending.Set(c.loop.Now() + within)
+	c.loop.finishing++
+	unix.Shutdown(c.fd, unix.SHUT_WR)
+	c.In.Drop(c.In.Len())
+	c.Resume()
 }
 
 // Close ends the connection; what it had not written is lost. The other side is told at once: an execution that
 // follows elsewhere must not be a second copy beside the one given up.
 func (c *Conn) Close() {
 	if !c.closed {
-		c.closed = true
+		if c.closed = true; c.ending != nil {
+			c.ending.Stop()
+			c.loop.finishing--
+		}
 		unix.Shutdown(c.fd, unix.SHUT_RDWR)
 		c.loop.closing = append(c.loop.closing, c)
 		c.loop.rouse()
--- a/internal/sock/loop.go
+++ b/internal/sock/loop.go
@@ -34,6 +34,7 @@
 	turning     []*Conn // that stop reading or read on
 	timers      timers
 	armed       float64 // when the alarm goes off; 0: not set
+	finishing   int     // connections that wait for the other side's end
 	done        bool
 }
 
@@ -82,6 +83,9 @@
 	l.poll.Close()
 }
 
+// Finishing counts the connections that only wait for the other side to end them.
+func (l *Loop) Finishing() int { return l.finishing }
+
 // Now is the time: Unix seconds at the start, from there on by the monotonic clock.
 func (l *Loop) Now() float64 { return l.base + time.Since(l.started).Seconds() }
 
