--- a/internal/caches/crossings_test.go
+++ b/internal/caches/crossings_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -209,3 +210,91 @@
 		t.Errorf("the ended connection was sent %q", more)
 	}
 }
+
+// A drain is told in the round in which a connection to the server has come up: nothing is written there, and it is not kept.
+func TestADrainIsToldAsAConnectionComesUp(t *testing.T) {
+	f, conns := listening(t, usual)
+	o := make(outcome, 1)
+	var conn net.Conn
+	f.do(f.loop, func() {
+		f.Execute(1, &router.Operation{Key: "k", ID: "a", Flags: "Oa"}, 5, 5, o)
+		conn = <-conns // the kernel has it, and the loop has not heard of it
+		f.Unlisted(1)
+	})
+	o.want(t, logic.NotSent)
+	conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+	if heard, err := io.ReadAll(conn); len(heard) > 0 || err != nil {
+		t.Errorf("it was sent %q, %v", heard, err)
+	}
+}
+
+// The same for an answer, whose connection is free in that round: what waits for it is not sent.
+func TestADrainIsToldAsAnAnswerFreesItsConnection(t *testing.T) {
+	limits := usual
+	limits.Connections, limits.PerConnection = 1, 1
+	f, conns := listening(t, limits)
+	first, second := make(outcome, 1), make(outcome, 1)
+	f.do(f.loop, func() { f.Execute(1, &router.Operation{ID: "a", Flags: "Oa"}, 5, 5, first) })
+	conn := <-conns
+	heard(t, conn)
+	f.do(f.loop, func() {
+		f.Execute(1, &router.Operation{ID: "b", Flags: "Ob"}, 5, 5, second)
+		l := f.servers[1].links[0]
+		conn.Write([]byte("VA 0 Oa\r\n\r\n"))
+		for !l.conn.Unread() {
+			time.Sleep(time.Millisecond)
+		}
+		f.Unlisted(1)
+	})
+	first.want(t, logic.Finished)
+	second.want(t, logic.NotSent)
+	if more, _ := io.ReadAll(conn); len(more) > 0 {
+		t.Errorf("it was sent %q", more)
+	}
+}
+
+// A server ends each connection right as it comes up: that is no connection, and none is made anew as fast as that goes.
+func TestAServerThatEndsEachConnectionIsNotStormed(t *testing.T) {
+	f, conns := listening(t, usual)
+	for range 20 {
+		o := make(outcome, 1)
+		f.do(f.loop, func() {
+			var l *link
+			f.loop.Post(func() { // in the round in which it is up, and before that is heard
+				(<-conns).Close()
+				for !l.conn.Ended() {
+					time.Sleep(time.Millisecond)
+				}
+			})
+			f.Execute(1, &router.Operation{ID: "a", Flags: "Oa"}, 5, 5, o)
+			l = f.servers[1].links[0]
+			for len(conns) == 0 {
+				time.Sleep(time.Millisecond)
+			}
+		})
+		o.want(t, logic.NoConnection)
+		if len(conns) > 0 {
+			t.Fatal("another connection is made for nothing")
+		}
+	}
+}
+
+// A long value that nobody waits for any more is let go of as it comes; the one piped behind it gets its own answer.
+func TestALongValueThatNobodyWantsHoldsUpNothing(t *testing.T) {
+	limits := usual
+	limits.Connections = 1
+	f, conns := listening(t, limits)
+	first, second := make(outcome, 1), make(outcome, 1)
+	var p router.Pending
+	f.do(f.loop, func() { p = f.Execute(1, &router.Operation{ID: "a", Flags: "Oa"}, 5, 5, first) })
+	conn := <-conns
+	heard(t, conn)
+	f.do(f.loop, func() {
+		f.Execute(1, &router.Operation{ID: "b", Flags: "Ob"}, 5, 5, second)
+		p.Drop()
+	})
+	heard(t, conn)
+	first.want(t, logic.Withdrawn)
+	conn.Write([]byte("VA 100000 Oa\r\n" + strings.Repeat("x", 100000) + "\r\nVA 0 Ob\r\n\r\n"))
+	second.want(t, logic.Finished)
+}
--- a/internal/caches/link.go
+++ b/internal/caches/link.go
@@ -186,6 +186,14 @@
 	l.timer = l.on.f.loop.Timer(l.stalled)
 	l.up = true
 	l.on.coming--
+	if !l.conn.Quiet() && l.addr == l.on.addr && len(l.on.waiting) > 0 {
+		// It ended or spoke as it came up: another at once would fare no better, nor would all that follow, as fast as they can be made.
+		a := l.on.waiting[0]
+		l.on.leave(a)
+		a.settle(logic.NoConnection, router.Result{})
+		l.broken()
+		return
+	}
 	l.on.free(l)
 	l.on.spread()
 }
--- a/internal/caches/passage.go
+++ b/internal/caches/passage.go
@@ -63,9 +63,19 @@
 		return
 	}
 	l.passage = &passage{l: l, length: length}
+	if l.queue[0].done { // nobody waits for it, but for what is behind it
+		l.passage.to = nobody{}
+	}
 	l.queue[0].settle(logic.Finished, router.Result{Long: l.passage})
 }
 
+// nobody takes what nobody wants.
+type nobody struct{}
+
+func (nobody) Part(part []byte) int { return len(part) }
+func (nobody) Whole()               {}
+func (nobody) Broken()              {}
+
 // Part takes the next bytes, as far as they can be handed on.
 func (l *link) Part(part []byte) int {
 	if l.passage == nil || l.passage.to == nil {
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -17,6 +17,7 @@
 
 const (
 	connected = 500 * time.Millisecond // to an agent on the same machine
+	lagging   = time.Second            // to a service that has not caught up: half of what it is given for that
 	bodyBound = 8 << 20                // tens of thousands of entries
 )
 
@@ -193,7 +194,11 @@
 	if w.drop(c); len(w.out) == was || c.number <= w.taken {
 		return // it was given up, or what it tells is told
 	}
-	if err := w.take(c); err != nil {
+	if err := w.take(c); errors.Is(err, ErrOld) {
+		w.tell(err)
+		w.next.Reset(lagging)
+		return
+	} else if err != nil {
 		w.tell(err)
 		w.pause()
 		return
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -102,7 +102,8 @@
 }
 
 // sweep closes what holds memory or a place for nothing: a client that reads none of its answers, one that says
-// nothing or does not finish the command it has begun, and idle ones.
+// nothing or does not finish the command it has begun, and idle ones. What stands unread in the socket is no silence: the loop may
+// have been stopped meanwhile.
 func (f *Front) sweep() {
 	now := f.loop.Now()
 	for c := range f.clients {
@@ -111,10 +112,10 @@
 			if now-c.used > patience {
 				c.close()
 			}
-		case idle && c.codec.Begun() && now-c.began > begins && (!c.lengthy || now-c.used > standing || now-c.began > lasting):
+		case idle && c.codec.Begun() && now-c.began > begins && !c.conn.Unread() && (!c.lengthy || now-c.used > standing || now-c.began > lasting):
 			c.ending = true
 			c.Say(c.codec.Unfinished())
-		case idle && !c.useful && now-c.came > begins, c.surplus && c.idle(), f.leaving && c.useful && c.idle(),
+		case idle && !c.useful && now-c.came > begins && !c.conn.Unread(), c.surplus && c.idle(), f.leaving && c.useful && c.idle(),
 			now-c.used > kept && c.idle(),
 			now-c.used > settled && len(f.clients) > f.limits.Connections/2 && c.idle():
 			c.close()
@@ -563,7 +564,9 @@
 }
 
 // mute tells that nothing is owed and only a part of a command has come, or nothing.
-func (c *Client) mute() bool { return !c.useful && len(c.answers) == 0 && len(c.rest) == 0 }
+func (c *Client) mute() bool {
+	return !c.useful && len(c.answers) == 0 && len(c.rest) == 0 && !c.conn.Unread()
+}
 
 // idle tells that nothing is owed and nothing has begun.
 func (c *Client) idle() bool {
--- a/internal/service/crossings_test.go
+++ b/internal/service/crossings_test.go
@@ -13,6 +13,7 @@
 
 	"bendtrestle/internal/discovery"
 	"bendtrestle/internal/operators"
+	"bendtrestle/logic"
 
 	"github.com/rs/zerolog"
 )
@@ -47,6 +48,11 @@
 		if err := p.news(moved, members(41, "127.0.0.1:2", "ready")); err == nil || !avoided() {
 			t.Errorf("it is taken back: %v", err)
 		}
+		lags := members(41, "127.0.0.1:2", "ready")
+		lags.Entries[1].Mode = logic.Draining
+		if err := p.news(moved, lags); err == nil || !avoided() || !p.router.Avoids(discovery.ID("s-2")) {
+			t.Errorf("a drain that it tells is not heeded: %v", err)
+		}
 		if p.watch != was {
 			t.Error("the watch before is left before the new service has told a list that counts")
 		}
--- a/internal/service/pool.go
+++ b/internal/service/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"slices"
 
 	"bendtrestle/internal/caches"
 	"bendtrestle/internal/discovery"
@@ -132,6 +133,9 @@
 		return nil // moved from since
 	}
 	if known := max(p.told, w.known); l.Whole && l.Generation < known && p.s.loop.Now()-w.since < catchUp {
+		// It may count anew: what it says of drains is heeded at once, which costs little if it is old.
+		l.Entries = slices.DeleteFunc(l.Entries, func(e discovery.Entry) bool { return e.Mode != logic.Draining })
+		p.hear(logic.Diff, l)
 		return fmt.Errorf("%w: %d, %d", discovery.ErrOld, l.Generation, known)
 	}
 	if w == p.next {
