Guard the loop, and let either process of a hand-over accept when the other ends

Found by reading. A callback of the loop that failed outside the module ended the process with all that it owed (sock do, rung, woken had no guard): it is logged with its stack now and the others are called.

--- a/internal/service/crossings_test.go
+++ b/internal/service/crossings_test.go
@@ -157,3 +157,29 @@
 		t.Errorf("what the new process had taken is answered %q", line)
 	}
 }
+
+// The old process is told to end before the new one is ready: the new one answers at once, if only that it starts, not once the old one has
+// finished what it has.
+func TestTheOldProcessIsToldToEndBeforeTheNewOneIsReady(t *testing.T) {
+	held := make(chan bool)
+	defer close(held)
+	list := giving(t, func(conn net.Conn, id, key string) {
+		<-held
+		fmt.Fprintf(conn, "VA 2 O%s h1\r\nhi\r\n", id)
+	})
+	addr, shared := freeAddress(t), t.TempDir()
+	old, _ := next(t, addr, list, shared)
+	serving(t, old)
+	heir, _ := next(t, addr, "127.0.0.1:1", shared) // its list service does not answer
+	until(t, "the new process's question", old, func() bool { return old.beside == 1 })
+	asking(t, addr, "a", "later")
+	until(t, "the operation", old, func() bool { return old.front.Open() == 1 })
+	old.loop.Post(old.leave)
+	until(t, "the end's second part", old, func() bool { return old.phase == Finishing })
+	if got := ask(addr, "mn"); got != "SERVER_ERROR starting" || on(old, func() Phase { return old.phase }) != Finishing {
+		t.Errorf("while the old process finishes it answers %q", got)
+	}
+	if on(heir, func() int { return heir.beside }) != 1 {
+		t.Error("the new process takes all places while the old one still has connections")
+	}
+}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -3,6 +3,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"math"
 	"os"
@@ -122,6 +123,9 @@
 	if err != nil {
 		return err
 	}
+	s.loop.Guard(func(what any, stack []byte) {
+		s.log.Error().Str("fault", fmt.Sprint(what)).Bytes("stack", stack).Msg("a callback failed")
+	})
 	go s.obey(signals, again)
 	return s.loop.Run()
 }
@@ -306,6 +310,9 @@
 	if s.before != nil && s.heirs == 0 { // the process before this one is the only one left that can accept
 		s.part()
 	}
+	if s.offer != nil && s.beside > 0 && s.heirs == 0 { // the next process is not ready; it alone can answer, if only that
+		s.offer.Close()
+	}
 	s.enter(Finishing)
 	s.front.Leave()
 	s.endIfDone()
--- a/internal/service/succession.go
+++ b/internal/service/succession.go
@@ -29,8 +29,8 @@
 		before.Close()
 		s.loop.Post(func() {
 			s.before = nil
-			s.alongside(-1)
-			if s.phase == Starting { // nobody else takes clients now
+			s.loop.After(s.longest()+margin, func() { s.alongside(-1) }) // it may be ending what it had taken
+			if s.phase == Starting {                                     // nobody else takes clients now
 				s.joined()
 			}
 		})
--- a/internal/sock/loop.go
+++ b/internal/sock/loop.go
@@ -6,6 +6,7 @@
 	"container/heap"
 	"encoding/binary"
 	"io"
+	"runtime/debug"
 	"sync"
 	"time"
 	_ "unsafe" // for go:linkname
@@ -36,6 +37,7 @@
 	armed       float64 // when the alarm goes off; 0: not set
 	finishing   int     // connections that wait for the other side's end
 	done        bool
+	fault       func(what any, stack []byte) // nil: a callback that fails ends the process
 }
 
 // LogTo makes netpoll write its own messages to w. It is called before any loop is made.
@@ -89,17 +91,32 @@
 // Now is the time: Unix seconds at the start, from there on by the monotonic clock.
 func (l *Loop) Now() float64 { return l.base + time.Since(l.started).Seconds() }
 
+// Guard has a callback that fails told, instead of ending the process with all that the others owe.
+func (l *Loop) Guard(fault func(what any, stack []byte)) { l.fault = fault }
+
+// call runs a callback.
+func (l *Loop) call(f func()) {
+	if l.fault != nil {
+		defer func() {
+			if what := recover(); what != nil {
+				l.fault(what, debug.Stack())
+			}
+		}()
+	}
+	f()
+}
+
 // do runs a callback and what it leaves for later.
 func (l *Loop) do(f func()) {
 	if l.done {
 		return
 	}
-	f()
+	l.call(f)
 	for len(l.later) > 0 {
 		next := l.later
 		l.later = nil
 		for _, f := range next {
-			f()
+			l.call(f)
 		}
 	}
 	l.setAlarm()
@@ -131,7 +148,7 @@
 	l.posted = nil
 	l.mu.Unlock()
 	for _, f := range posted {
-		f()
+		l.call(f)
 	}
 }
 
@@ -193,7 +210,7 @@
 	unix.Read(l.alarm, count[:])
 	l.armed = 0
 	for now := l.Now(); len(l.timers) > 0 && l.timers[0].at <= now; {
-		heap.Pop(&l.timers).(*Timer).f()
+		l.call(heap.Pop(&l.timers).(*Timer).f)
 	}
 }
 
