--- a/logic/logic.go
+++ b/logic/logic.go
@@ -428,8 +428,7 @@
 	keep := 1 - 1/(4*caches) // lately: some four uses a cache
 	lately := r.heat[slot] * math.Pow(keep, r.uses-r.heated[slot])
 	spread := 3 * caches * lately / (r.recent + caches/4) // a quarter use a cache is doubt at the start
-	r.uses++
-	r.recent = r.recent*keep + 1
+	r.uses, r.recent = r.uses+1, r.recent*keep+1
 	r.heat[slot], r.heated[slot] = lately*keep+1, r.uses
 	// Less in calm, for each copy is a miss, and where much fails, for then the origin does.
 	good := (r.won + 1) / (r.won + r.lost + 1)
@@ -560,21 +559,17 @@
 		panic("an execution that the rules forbid")
 	}
 	e := &execution{of: op, on: s, n: len(op.executions), sent: r.now, out: true}
-	op.executions = append(op.executions, e)
-	s.out = append(s.out, e)
-	r.flying++
-	s.budget--
+	op.executions, s.out = append(op.executions, e), append(s.out, e)
+	r.flying, s.budget = r.flying+1, s.budget-1
 	limit, latest := op.hardStop-r.now, op.due-op.row.lag-r.now
 	// It is cut off while one more execution still fits into the promised time, on a server that just failed.
 	// Else a cut may stop no work, and another fares no better.
 	if s.fails > 0 && *op.purse >= 1 && latest > op.row.lag && op.row.Effect == Reissuable {
 		limit = min(limit, latest)
 	}
-	within := limit // a repeat is dropped within its window alone: it must not wait for a connection beyond that
-	for _, x := range op.executions[:e.n] {
-		if op.row.Effect == Numbered && !x.harmless {
-			within = min(within, x.sent+op.row.Window-r.now)
-		}
+	within, ran := limit, slices.IndexFunc(op.executions, func(x *execution) bool { return x != e && !x.harmless })
+	if ran >= 0 && op.row.Effect == Numbered { // a repeat is dropped within its window alone: it must not wait beyond that
+		within = min(limit, op.executions[ran].sent+op.row.Window-r.now)
 	}
 	r.host.Execute(op.id, s.ID, limit, within)
 }
@@ -596,8 +591,7 @@
 		return
 	}
 	e := op.executions[n]
-	e.out = false
-	r.flying--
+	e.out, r.flying = false, r.flying-1
 	e.harmless = how == TurnedAway || how == NoConnection || how == NotSent || how == NotStored
 	e.on.out = slices.DeleteFunc(e.on.out, func(x *execution) bool { return x == e })
 	r.learn(e, how, lag)
