--- a/internal/caches/crossings_test.go
+++ b/internal/caches/crossings_test.go
@@ -298,3 +298,71 @@
 	conn.Write([]byte("VA 100000 Oa\r\n" + strings.Repeat("x", 100000) + "\r\nVA 0 Ob\r\n\r\n"))
 	second.want(t, logic.Finished)
 }
+
+// An answer has come as its limit ends, and the loop hears of both in one round: it ends once, either way.
+func TestAnAnswerAndItsLimitInOneRound(t *testing.T) {
+	f, conns := listening(t, usual)
+	o := make(outcome, 2)
+	f.do(f.loop, func() { f.Execute(1, &router.Operation{ID: "a", Flags: "Oa"}, 60, 60, o) })
+	conn := <-conns
+	heard(t, conn)
+	f.do(f.loop, func() {
+		l := f.servers[1].links[0]
+		a := l.queue[0]
+		conn.Write([]byte("VA 0 Oa\r\n\r\n"))
+		for !l.conn.Unread() {
+			time.Sleep(time.Millisecond)
+		}
+		a.until = f.loop.Now()
+		a.timer.Set(a.until)
+	})
+	if how := <-o; how != logic.Finished && how != logic.NoAnswer {
+		t.Errorf("it ended as %d", how)
+	}
+	f.do(f.loop, func() {})
+	f.do(f.loop, func() {
+		if len(o) > 0 || len(f.servers[1].links) > 1 {
+			t.Errorf("it ended %d times more, %d connections are kept", len(o), len(f.servers[1].links))
+		}
+	})
+}
+
+// A server is gone and back, elsewhere, in one list: what waited for it is told that it was not sent, what comes next goes where it is now.
+func TestAServerIsGoneAndBackInOneRound(t *testing.T) {
+	f, before := listening(t, usual)
+	other, after := listening(t, usual)
+	first, second := make(outcome, 1), make(outcome, 1)
+	f.do(f.loop, func() {
+		f.Execute(1, &router.Operation{Key: "k", ID: "a", Flags: "Oa"}, 5, 5, first)
+		f.Unlisted(1)
+		f.Listed(1, other.servers[1].addr)
+		f.Execute(1, &router.Operation{Key: "k", ID: "b", Flags: "Ob"}, 5, 5, second)
+	})
+	first.want(t, logic.NotSent)
+	answer(t, <-after, "VA 0 Ob\r\n\r\n")
+	second.want(t, logic.Finished)
+	conn := <-before
+	conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+	if heard, err := io.ReadAll(conn); len(heard) > 0 || err != nil {
+		t.Errorf("where it was, it was sent %q, %v", heard, err)
+	}
+}
+
+// A connection comes up after what it was made for has settled: it is kept for the next, and nothing is written on it before that.
+func TestAConnectionComesUpAfterItsAttemptSettled(t *testing.T) {
+	f, conns := listening(t, usual)
+	first, second := make(outcome, 1), make(outcome, 1)
+	f.do(f.loop, func() { f.Execute(1, &router.Operation{Key: "first", ID: "a", Flags: "Oa"}, 5, 5, first).Drop() })
+	first.want(t, logic.Withdrawn)
+	conn := <-conns
+	for idle := 0; idle == 0; time.Sleep(time.Millisecond) {
+		f.do(f.loop, func() { idle = len(f.servers[1].idle) })
+	}
+	f.do(f.loop, func() { f.Execute(1, &router.Operation{Key: "second", ID: "b", Flags: "Ob"}, 5, 5, second) })
+	line := make([]byte, len("mg second"))
+	if io.ReadFull(conn, line); string(line) != "mg second" {
+		t.Errorf("it was sent %q", line)
+	}
+	answer(t, conn, "VA 0 Ob\r\n\r\n")
+	second.want(t, logic.Finished)
+}
--- a/internal/service/crossings_test.go
+++ b/internal/service/crossings_test.go
@@ -1,6 +1,7 @@
 package service
 
 import (
+	"bufio"
 	"errors"
 	"fmt"
 	"io"
@@ -183,3 +184,81 @@
 		t.Error("the new process takes all places while the old one still has connections")
 	}
 }
+
+// A generation that is told again with other entries counts; one that starts again at 0 counts once the service has had time to catch up.
+func TestGenerationsThatRepeatAndStartAgain(t *testing.T) {
+	s, _, _ := running(t, fleet(t, 0))
+	on(s, func() bool {
+		p := s.platform
+		for i, c := range []struct {
+			generation uint64
+			state      string
+			avoided    bool
+		}{{42, "ready", false}, {42, "draining", true}, {42, "ready", false}, {0, "draining", true}} {
+			p.watch.since -= catchUp
+			if err := p.news(p.watch, members(c.generation, "127.0.0.1:2", c.state)); err != nil || p.router.Avoids(discovery.ID("s-1")) != c.avoided {
+				t.Errorf("list %d: %v, avoided %v", i, err, !c.avoided)
+			}
+		}
+		return true
+	})
+}
+
+// Told to end before it is ready, and twice, it ends by itself.
+func TestToldToEndBeforeItIsReady(t *testing.T) {
+	s, addr, err := assembled(usual, "127.0.0.1:1", zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- s.loop.Run() }()
+	on(s, func() bool {
+		s.leave()
+		s.leave()
+		s.platform.next = &watch{stop: func() {}}
+		return s.platform.news(s.platform.next, members(1, "127.0.0.1:2", "ready")) == nil // the list comes after all
+	})
+	if got := ask(addr, "mn"); got == "MN" {
+		t.Error("a process that ends says that it serves")
+	}
+	select {
+	case err := <-ended:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(10 * time.Second):
+		t.Error("it does not end")
+	}
+}
+
+// A client stands in the backlog, with its command, as the listener is closed: it is accepted and answered.
+func TestABacklogAsTheListenerCloses(t *testing.T) {
+	s, addr, _ := running(t, fleet(t, 0))
+	var in *bufio.Reader
+	on(s, func() bool {
+		for range 20 {
+			_, in = asking(t, addr, "a", "short")
+		}
+		s.phase = Leaving
+		s.finish()
+		return true
+	})
+	if line, err := in.ReadString('\n'); line != "VA 2 Oa\r\n" && !strings.HasPrefix(line, "CLIENT_ERROR the id") {
+		t.Errorf("the last of them reads %q, %v", line, err)
+	}
+}
+
+// The new process dies after it took the sockets and before it is ready: the old one never stopped, and has all places again.
+func TestTheNewProcessDiesBeforeItIsReady(t *testing.T) {
+	addr, shared := freeAddress(t), t.TempDir()
+	old, _ := next(t, addr, fleet(t, 0), shared)
+	serving(t, old)
+	heir, gone := next(t, addr, "127.0.0.1:1", shared)
+	until(t, "the new process's question", old, func() bool { return old.beside == 1 })
+	on(heir, func() bool { heir.part(); heir.loop.Stop(); return true }) // as its kernel does for it
+	<-gone
+	until(t, "its end", old, func() bool { return old.beside == 0 })
+	if got := ask(addr, read); got != "VA 2 Oa1" || old.heirs != 0 {
+		t.Errorf("then the old one answers %q", got)
+	}
+}
