--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -314,3 +314,17 @@
 		}
 	})
 }
+
+// Whatever a list service answers, a server that is to be used has an address, and the reader stops nothing.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(`{"generation":43,"reset":true,"instances":[{"instanceId":"s-1","hostPort":"10.1.0.18:11211","zone":"a","lifecycle":"ready","weight":0.6}]}`))
+	f.Add([]byte(`{"generation":1,"instances":[7,{"instanceId":"s","cell":"x","lifecycle":"ready"},{"instanceId":"t","lifecycle":"draining"}]}`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		l, err := Parse(text)
+		for _, e := range l.Entries {
+			if err == nil && e.Mode == logic.InService && (e.faulty || !e.Addr.IsValid()) {
+				t.Errorf("%q: %+v may be used", text, e)
+			}
+		}
+	})
+}
