--- a/internal/front/crossings_test.go
+++ b/internal/front/crossings_test.go
@@ -37,6 +37,18 @@
 	}
 }
 
+// serves tells whether the command O1 is served.
+func (s served) serves(name string, in io.Reader) {
+	s.t.Helper()
+	select {
+	case h := <-s.began:
+		s.finish(h, "x")
+		want(s.t, in, "VA 1 O1\r\nx\r\n")
+	case <-time.After(5 * time.Second):
+		s.t.Errorf("%s: the command is not served", name)
+	}
+}
+
 // deserted waits until no client is left.
 func (s served) deserted() {
 	s.t.Helper()
@@ -199,13 +211,7 @@
 			}
 			closing(s)
 		})
-		select {
-		case h := <-s.began:
-			s.finish(h, "x")
-			want(t, in, "VA 1 O1\r\nx\r\n")
-		case <-time.After(5 * time.Second):
-			t.Errorf("%s: the command is not served", name)
-		}
+		s.serves(name, in)
 	}
 }
 
@@ -258,13 +264,7 @@
 			}
 			c.look(s)
 		})
-		select {
-		case h := <-s.began:
-			s.finish(h, "x")
-			want(t, in, "VA 1 O1\r\nx\r\n")
-		case <-time.After(5 * time.Second):
-			t.Errorf("%s: the command is not served", name)
-		}
+		s.serves(name, in)
 	}
 }
 
