--- a/internal/caches/caches_test.go
+++ b/internal/caches/caches_test.go
@@ -41,21 +41,10 @@
 }
 
 func serving(t *testing.T, limits Limits, serve func(conn net.Conn, line string)) fleet {
-	l, err := sock.New()
-	if err != nil {
-		t.Fatal(err)
-	}
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	f := fleet{t: t, lines: make(chan string, 10000)}
+	f, conns := listening(t, limits)
+	f.lines = make(chan string, 10000)
 	go func() {
-		for {
-			conn, err := ln.Accept()
-			if err != nil {
-				return
-			}
+		for conn := range conns {
 			go func() {
 				in := bufio.NewReader(conn)
 				for {
@@ -70,18 +59,12 @@
 			}()
 		}
 	}()
-	go l.Run()
-	t.Cleanup(func() { l.Post(l.Stop); ln.Close() })
-	f.do(l, func() {
-		f.Fleet = New(l, limits, Memcache, zerolog.Nop())
-		f.Listed(1, netip.MustParseAddrPort(ln.Addr().String()))
-	})
 	return f
 }
 
 // listening is one cache server, known as 1, that does nothing with its connections.
 func listening(t *testing.T, limits Limits) (f fleet, conns chan net.Conn) {
-	conns = make(chan net.Conn, 100)
+	conns = make(chan net.Conn, 1000)
 	l, err := sock.New()
 	if err != nil {
 		t.Fatal(err)
