End each service with its test: a call that hangs kept its list service from closing

Seen: the service's crossings repeated 20 times hung once in TestGenerationsThatRepeatAndStartAgain ('httptest.Server blocked in Close'). The stack shows the stand-in's Close waiting for a call in a handler that ends with its caller, and Watch still running: running() left its service on. A call begun between CloseClientConnections and Close was not given up, as calls beside it were refused and only a list or five more calls out end it.

--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -88,6 +88,7 @@
 	}
 	ended = make(chan error, 1)
 	go func() { ended <- s.loop.Run() }()
+	t.Cleanup(func() { s.loop.Post(s.end) }) // before the list service's, which waits for the calls that are out
 	for i := 0; ask(addr, "mn") != "MN"; i++ {
 		if i > 500 {
 			t.Fatal("it does not come to serve")
