Close a hand-over once, and let a list call that hangs end by itself

Seen: TestUpgradesUnderLoad red once, 'the old one's halt does not come', and a bendtrestle left running by TestUpgradeOfRealProcesses in that same run of the suite. Offer.Close removes the path if its file is its own, by SameFile; by then the old process has opened the path anew, and its file may have the inode that was just freed: the second Close removed it, the next process found no hand-over and shared the address, so the old one never halted. The test gives it by hand; without the mend it fails. The run then ended in a panic (load told of an error after its test had ended), so no cleanup ran and the process stayed: load ends with its test now, and real processes die with theirs. watch.go: a call at an agent that hangs was ended by a list or the sixth call beside it alone; where all others are refused at once it had no end.

--- a/cmd/bendtrestle/main_test.go
+++ b/cmd/bendtrestle/main_test.go
@@ -63,6 +63,7 @@
 	router := exec.Command(os.Args[0])
 	router.Env = append(os.Environ(), "AS_ROUTER=1", "GW_CONFIG="+path, "TMPDIR="+t.TempDir())
 	router.Stderr = log
+	router.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // also where the tests end without their cleanup
 	if err := router.Start(); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -298,6 +298,22 @@
 	}
 }
 
+// A call that hangs while all others are turned away at once ends by itself.
+func TestACallThatHangsEndsWhileOthersAreTurnedAway(t *testing.T) {
+	a := asking(t, Start{Known: 41, Same: true, Rhythm: Pushed(0.1, 1)})
+	first := next(t, "call", a.calls)
+	for late := time.After(10 * time.Second); ; {
+		select {
+		case c := <-a.calls:
+			c.answer <- ""
+		case <-first.given:
+			return
+		case <-late:
+			t.Fatal("it hangs for ever")
+		}
+	}
+}
+
 // The longest delays, by reckoning: whatever hung, an agent is asked again within the grace, and a service that has been silent
 // or has turned calls away before what it has counts as told (6 s, after SIGHUP 4 s).
 func TestRhythmsKeepWhatIsStated(t *testing.T) {
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -123,10 +123,11 @@
 // call begins a call. In doubt it does not wait for news, where others may be out beside it.
 func (w *watch) call() {
 	w.begun++
-	ctx, stop := context.WithCancel(w.ctx)
+	hold, late := w.Rhythm.Hold, w.Rhythm.Late
+	// As long as it has others beside it, and as much again: where these are refused at once nothing else would end it.
+	ctx, stop := context.WithTimeout(w.ctx, 2*(hold+late)+time.Duration(w.Rhythm.Most)*w.Rhythm.Again)
 	c := &call{number: w.begun, whole: w.whole, from: w.from, stop: stop}
 	w.out = append(w.out, c)
-	hold, late := w.Rhythm.Hold, w.Rhythm.Late
 	if w.doubted && w.Rhythm.Most > 1 {
 		hold, late = 0, w.Rhythm.Again
 	}
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -166,3 +166,24 @@
 		t.Error("a path that is too long is no error")
 	}
 }
+
+// One that is closed twice lets be what another process has put at its path since, though the file system gives numbers of files that
+// are gone to new ones: here the other's has the number that its own had.
+func TestASecondCloseRemovesNobodysPath(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "sock")
+	first, err := Open(path, nil, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	first.Close()
+	second, err := Open(path, nil, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer second.Close()
+	first.mine = second.mine
+	first.Close()
+	if _, err := os.Stat(path); err != nil {
+		t.Errorf("the other's path is gone: %v", err)
+	}
+}
--- a/internal/handover/sockets.go
+++ b/internal/handover/sockets.go
@@ -133,6 +133,7 @@
 	mu    sync.Mutex
 	asked int
 	conns map[net.Conn]bool
+	ended bool
 }
 
 // Open takes the path over from whoever had it.
@@ -173,6 +174,13 @@
 
 // Close ends it; the path stays another's if one has taken it over.
 func (o *Offer) Close() {
+	o.mu.Lock()
+	again := o.ended
+	o.ended = true
+	o.mu.Unlock()
+	if again { // what is at the path now is another's, though its file may have the number that this one's had
+		return
+	}
 	if now, err := os.Stat(o.path); err == nil && os.SameFile(now, o.mine) {
 		os.Remove(o.path)
 	}
--- a/internal/service/helpers_test.go
+++ b/internal/service/helpers_test.go
@@ -88,9 +88,10 @@
 			}
 		}()
 	}
+	end := func() { done.Store(1); all.Wait() }
+	t.Cleanup(end) // also where the test fails before: what it would tell afterwards would end the whole program
 	return func() {
-		done.Store(1)
-		if all.Wait(); asked.Load() < 100 {
+		if end(); asked.Load() < 100 {
 			t.Errorf("only %d were asked", asked.Load())
 		}
 	}
--- a/internal/service/succession_test.go
+++ b/internal/service/succession_test.go
@@ -149,6 +149,7 @@
 	start := func() (p *exec.Cmd, ops string) {
 		p, ops = exec.Command(program), freeAddress(t)
 		p.Env = append(os.Environ(), "GW_CONFIG="+conf, "TMPDIR="+dir, "GW_OPS="+ops)
+		p.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // also where the tests end without their cleanup
 		if err := p.Start(); err != nil {
 			t.Fatal(err)
 		}
