--- a/internal/config/describe.go
+++ b/internal/config/describe.go
@@ -60,6 +60,7 @@
 	say("settings.limits.probes", limits+"probes", "default", "%v", s.Probes)
 	say("settings.limits.peers", limits+"peers", "default", "%v", s.Peers)
 	say("settings.limits.maxRetryAfter", limits+"maxRetryAfter", "not told", "%v s", s.MaxRetryAfter)
+	say("settings.rules.drainGrace", rules+"drainGrace", "default", "%v s", c.DrainGrace)
 	say("settings.rules.fall", rules+"fall", "no bound", "%v s", s.Fall)
 	say("settings.rules.tipMultiple", rules+"tipMultiple", "no bound", "%v", s.TipMultiple)
 	say("settings.rules.startCapacity", rules+"startCapacity", "default", "%v", s.StartCapacity)
