Decide when to call the list service apart from its sockets, and test what nothing held

The watch's doubt, its bounds and what still counts were decided with a socket in hand (internal/discovery): now a stepped machine in decide/pace, as the rooms want, with a property test of any order of ends. Behaviour as before, but that a pause alone is no late answer; the number of the last call that counted was taken out, for no order needed it (its taking out failed no test).

--- a/internal/caches/crossings_test.go
+++ b/internal/caches/crossings_test.go
@@ -366,3 +366,16 @@
 	answer(t, conn, "VA 0 Ob\r\n\r\n")
 	second.want(t, logic.Finished)
 }
+
+// What was written in time is waited for beyond the time in which it was to be written.
+func TestWhatIsWrittenWithinItsWindowMayBeAnsweredAfterIt(t *testing.T) {
+	f, conns := listening(t, usual)
+	o := make(outcome, 1)
+	var a *attempt
+	f.do(f.loop, func() { a = f.Execute(1, &router.Operation{ID: "a", Flags: "Oa"}, 60, 30, o).(*attempt) })
+	conn := <-conns
+	heard(t, conn)
+	f.do(f.loop, a.overdue) // the window ends
+	conn.Write([]byte("VA 0 Oa\r\n\r\n"))
+	o.want(t, logic.Finished)
+}
--- a/internal/service/pool.go
+++ b/internal/service/pool.go
@@ -7,6 +7,7 @@
 	"slices"
 
 	"bendtrestle/internal/caches"
+	"bendtrestle/internal/decide/pace"
 	"bendtrestle/internal/discovery"
 	"bendtrestle/internal/router"
 	"bendtrestle/logic"
@@ -27,7 +28,7 @@
 	entries  map[uint64]discovery.Entry // the present list
 	told     uint64                     // the list's generation as the list service last told it
 	last     discovery.List             // the list as the router's last run had it
-	rhythm   discovery.Rhythm           // of calls to the list service
+	rhythm   pace.Rhythm                // of calls to the list service
 	watch    *watch                     // whose news count
 	next     *watch                     // that watch's successor, until it has told a whole list
 	log      zerolog.Logger
@@ -44,9 +45,9 @@
 // newPool makes one without servers.
 func (s *Service) newPool(name string, set logic.Settings, connections int, connect, stall, idle float64, streams int, wire func(caches.Link) caches.Wire) *pool {
 	p := &pool{s: s, name: name, onDemand: set.OnRequest, listed: map[uint64]bool{}, known: map[uint64]bool{}, entries: map[uint64]discovery.Entry{}, log: s.log}
-	p.rhythm = discovery.Pushed(s.conf.DrainGrace, set.Seed)
+	p.rhythm = pace.Pushed(s.conf.DrainGrace, set.Seed)
 	if set.OnRequest {
-		p.rhythm = discovery.OnRequest(set.AskWithin, set.Seed)
+		p.rhythm = pace.OnRequest(set.AskWithin, set.Seed)
 	}
 	if name != "" {
 		p.log = s.log.With().Str("pool", name).Logger()
