--- a/cmd/bendtrestle/main_test.go
+++ b/cmd/bendtrestle/main_test.go
@@ -9,10 +9,13 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/pelletier/go-toml/v2"
 )
 
 // TestMain makes this test program the router where it is told to be one.
@@ -25,6 +28,32 @@
 	os.Exit(m.Run())
 }
 
+// deployed gives the line by which operators start a router.
+func deployed(t *testing.T) string {
+	t.Helper()
+	text, err := os.ReadFile("../../deploy/balancer.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var file struct {
+		Run string `toml:"run"`
+	}
+	if err := toml.Unmarshal(text, &file); err != nil || !strings.HasSuffix(file.Run, "exec bin/bendtrestle") {
+		t.Fatalf("run is %q, %v", file.Run, err)
+	}
+	return file.Run
+}
+
+// As operators start it a router that is not yet far enough to listen for SIGHUP does not end by it.
+func TestSIGHUPBeforeTheProgramsOwnBeginning(t *testing.T) {
+	out, err := exec.Command("/bin/sh", "-c", strings.ReplaceAll(deployed(t), "bin/bendtrestle", "grep SigIgn /proc/self/status")).Output()
+	_, mask, _ := strings.Cut(strings.TrimSpace(string(out)), "\t")
+	ignored, bad := strconv.ParseUint(mask, 16, 64)
+	if err != nil || bad != nil || ignored&(1<<(syscall.SIGHUP-1)) == 0 {
+		t.Errorf("the program starts with %q ignored, %v", out, err)
+	}
+}
+
 // A process whose log nobody reads any more serves on, and a SIGHUP that comes while it starts, or with SIGTERM behind it, does not
 // end it otherwise than SIGTERM does.
 func TestAProcessOutlivesItsLogAndASignalWhileItStarts(t *testing.T) {
@@ -60,7 +89,7 @@
 	}
 	unread, log, _ := os.Pipe()
 	unread.Close()
-	router := exec.Command(os.Args[0])
+	router := exec.Command("/bin/sh", "-c", strings.ReplaceAll(deployed(t), "bin/bendtrestle", os.Args[0]))
 	router.Env = append(os.Environ(), "AS_ROUTER=1", "GW_CONFIG="+path, "TMPDIR="+t.TempDir())
 	router.Stderr = log
 	router.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // also where the tests end without their cleanup
@@ -90,6 +119,16 @@
 	if !strings.HasPrefix(got, "VA 2 Oa") {
 		t.Errorf("it answers %q", got)
 	}
+	for i := 0; ; i++ { // SIGHUP is listened for by now: the file is read again
+		router.Process.Signal(syscall.SIGHUP)
+		if again, err := os.OpenFile(path, os.O_WRONLY|syscall.O_NONBLOCK, 0); err == nil {
+			again.Close()
+			break
+		} else if i > 500 {
+			t.Fatalf("SIGHUP is not obeyed: %v", err)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
 	router.Process.Signal(syscall.SIGHUP)
 	router.Process.Signal(syscall.SIGTERM)
 	if err := router.Wait(); err != nil {
