Show that a new configuration undoes a drain that the router was told of

Cause: a whole list with a lower generation is accepted 2 s after SIGHUP, although the lists of two agents may differ by 3.2 s. Change: review/3, a script in which discovery moves to an agent that is told of a drain later, with its claim and its record.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec "$(dirname "$0")/../play.sh" 3
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -21,6 +21,7 @@
 	cases := map[string]func(folder string, rec *record, trouble bool) int{
 		"case1": case1,
 		"case2": case2,
+		"case3": case3,
 	}
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin caseN RECORD FOLDER, or standin server NAME ADDRESS")
