--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -99,6 +99,7 @@
 			return
 		}
 		conn.SetDeadline(time.Now().Add(5 * time.Second))
+		p.record.add("client: sends %s", strings.TrimSpace(command))
 		io.WriteString(conn, command)
 		got, err := readAnswer(bufio.NewReader(conn))
 		if err != nil {
--- a/review/standin/memory.go
+++ b/review/standin/memory.go
@@ -9,6 +9,7 @@
 	"net"
 	"os"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -27,7 +28,8 @@
 func case1(folder string, rec *record, trouble bool) int {
 	random := newDraws(1)
 	known := list{Generation: 1, Reset: true}
-	quiet := &record{out: io.Discard}
+	quiet := &record{out: io.Discard} // the commands of the bad clients are counted, not listed
+	var ran atomic.Int64
 	for n := range memoryServers {
 		s, err := startServer(fmt.Sprintf("s-%d", n+1), "127.0.0.1:0", quiet)
 		if err != nil {
@@ -35,6 +37,7 @@
 			return notRun
 		}
 		s.valueSize = func(string) int { return memoryValue }
+		s.onCommand = func(*command) { ran.Add(1) }
 		go s.serve()
 		known.Instances = append(known.Instances, instance{InstanceID: s.name, HostPort: s.address(), Zone: "lima-1",
 			MachineType: "fast-single", Lifecycle: "ready", Weight: 1})
@@ -69,7 +72,7 @@
 			}
 		})
 	}
-	return watchMemory(r, rec, end)
+	return watchMemory(r, rec, end, &ran)
 }
 
 // badClient sends many commands at once at full speed, reads what it is sent, and begins anew.
@@ -108,7 +111,7 @@
 }
 
 // watchMemory is the platform: it kills the router once it is over its memory limit.
-func watchMemory(r *router, rec *record, end time.Time) int {
+func watchMemory(r *router, rec *record, end time.Time, ran *atomic.Int64) int {
 	most, noted := 0, time.Now()
 	for time.Now().Before(end) {
 		time.Sleep(10 * time.Millisecond)
@@ -121,7 +124,8 @@
 		used := memoryOf(r.command.Process.Pid)
 		most = max(most, used)
 		if time.Since(noted) > 100*time.Millisecond {
-			rec.add("platform: the router uses %.1f MB of %d", float64(used)/1024, memoryMB)
+			rec.add("platform: the router uses %.1f MB of %d; the cache servers have run %d commands", float64(used)/1024,
+				memoryMB, ran.Load())
 			noted = time.Now()
 		}
 		if used > memoryMB*1024 {
