--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,2 +1,5 @@
 #!/bin/sh
+# Plays case 1. TROUBLE=0 plays the same without the disruption.
+TROUBLE=${TROUBLE:-1}
+export TROUBLE
 exec "$(dirname "$0")/../play.sh" 1
--- a/review/standin/batch.go
+++ b/review/standin/batch.go
@@ -87,9 +87,9 @@
 	return "", ""
 }
 
-// case3: a client sends a batch of commands at once. The first is a miss, which its cache server fetches from the
+// case2: a client sends a batch of commands at once. The first is a miss, which its cache server fetches from the
 // origin; the second has a long value, whose cache server crashes meanwhile.
-func case3(folder string, rec *record, trouble bool) int {
+func case2(folder string, rec *record, trouble bool) int {
 	known := list{Generation: 1, Reset: true}
 	for n := range batchServers {
 		p, err := startProcess(fmt.Sprintf("s-%d", n+1), rec)
--- a/review/standin/router.go
+++ b/review/standin/router.go
@@ -30,18 +30,12 @@
 	return listener.Addr().String()
 }
 
-// startRouter starts a router with 192 MB.
+// startRouter starts a router and waits until it has answered mn with MN.
 func startRouter(folder, discovery string, known list, sockets int, settings map[string]any) (*router, error) {
-	return startRouterWith(folder, discovery, known, 192, sockets, settings)
-}
-
-// startRouterWith starts a router with limits and waits until it has answered mn with MN.
-func startRouterWith(folder, discovery string, known list, memoryMB, sockets int, settings map[string]any) (
-	*router, error) {
 	r := &router{folder: folder, listen: freeAddress(), exited: make(chan struct{})}
 	r.config = map[string]any{
 		"name": "n1", "listen": r.listen, "discovery": discovery, "seed": "8c1f30d27a5be964",
-		"limits":   map[string]any{"cores": 1.0, "memory_mb": memoryMB, "sockets": sockets},
+		"limits":   map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": sockets},
 		"known":    known,
 		"settings": settings,
 	}
--- a/review/standin/shutdown.go
+++ b/review/standin/shutdown.go
@@ -57,8 +57,8 @@
 	killAfter = 3*time.Second + 700*time.Millisecond + 50*time.Millisecond
 )
 
-// case2: a router is told to end for a planned restart, while some cache servers hang.
-func case2(folder string, rec *record, trouble bool) int {
+// case1: a router is told to end for a planned restart, while some cache servers hang.
+func case1(folder string, rec *record, trouble bool) int {
 	random := newDraws(1)
 	known := list{Generation: 1, Reset: true}
 	var servers []*server
