Answer all open requests before SIGKILL where deadlines exceed 3 s

Cause: the time of the final answers was the longest deadline and 0.6 s after SIGTERM. The platform waits for 3 s of the deadline at most, so SIGKILL came first. Deadlines of teams and the assumed second of a class without a deadline extended the time in the same way.

Change: earliestKill derives the time from the deadlines that the platform's settings state, 3 s at most. Log lines state it and what was open when it was over. A successor uses it for its predecessor's share.

--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -250,8 +250,7 @@
 	}
 }
 
-// LongestDeadline includes removed teams. A graceful shutdown waits that long, because requests may still be in flight
-// under the deadline of a removed team.
+// LongestDeadline includes removed teams, because requests may still be in flight under the deadline of a removed team.
 func TestLongestDeadlineIncludesRemovedTeams(t *testing.T) {
 	b, _, pools := newTestBroker(t, ample, testTerms("a", "own", 1))
 	b.Configure(pools, nil, UnmatchedToPlatform)
--- a/internal/service/hotrestart.go
+++ b/internal/service/hotrestart.go
@@ -63,7 +63,7 @@
 // removeOtherProcessLater reduces the number of other processes by one, after a delay in which that process can
 // complete the requests that it has accepted. Until then it keeps its share of the limits.
 func (s *Service) removeOtherProcessLater() {
-	s.loop.After(s.longestClientWait()+killMarginSeconds, func() { s.addOtherProcesses(-1) })
+	s.loop.After(s.earliestKill(), func() { s.addOtherProcesses(-1) })
 }
 
 // loadRestartState adopts the predecessor's endpoint list if it is of the same list service and no older than the list
--- a/internal/service/lifecycle.go
+++ b/internal/service/lifecycle.go
@@ -30,12 +30,15 @@
 const (
 	// acceptAfterSignalSeconds is how long connections are accepted after SIGTERM: clients open new ones for up to 0.4 s.
 	acceptAfterSignalSeconds = 0.5
-	// killMarginSeconds: SIGKILL arrives no earlier than the longest deadline plus this time after SIGTERM.
+	// maxKillWaitSeconds: the platform waits for the longest deadline before SIGKILL, but no longer than this.
+	maxKillWaitSeconds = 3
+	// killMarginSeconds is how long the platform waits beyond that.
 	killMarginSeconds = 0.7
-	// lastAnswersSeconds is reserved before SIGKILL for sending the last answers and for clients to read them.
+	// finalAnswerLeadSeconds is how long before the earliest SIGKILL all open requests get their final answers.
+	finalAnswerLeadSeconds = 0.1
+	// lastAnswersSeconds is how long clients have to read the final answers before the process ends.
 	lastAnswersSeconds = 0.1
-	// defaultClientWaitSeconds is how long a client of a traffic class without a deadline is assumed to wait, as in
-	// package frontend.
+	// defaultClientWaitSeconds is the longest deadline if the settings state none, as in package frontend.
 	defaultClientWaitSeconds = 1
 	// longValueExtraSeconds is how much longer a long value may be in flight: 4 MiB to a slow client take seconds.
 	longValueExtraSeconds = 30
@@ -82,33 +85,49 @@
 		acceptFor = 0
 	}
 	s.loop.After(acceptFor, s.finish)
-	deadline := s.loop.Now() + s.longestClientWait() + killMarginSeconds - lastAnswersSeconds
+	answerWithin := max(s.earliestKill()-finalAnswerLeadSeconds, acceptAfterSignalSeconds)
+	deadline := s.loop.Now() + answerWithin
+	s.log.Info().
+		Float64("answered_within", answerWithin).
+		Float64("longest_deadline", s.longestDeadline()).
+		Int("open", s.clients.frontend.OpenRequests()).
+		Msg("shutdown begins")
 	s.clients.frontend.SetFinalDeadline(deadline)
-	s.loop.Timer(func() { s.endAtDeadline(deadline + longValueExtraSeconds) }).Set(deadline)
+	s.loop.Timer(func() { s.answerOpenRequests(deadline + longValueExtraSeconds) }).Set(deadline)
 }
 
-// longestClientWait returns the longest time, in seconds, that a client waits for an answer.
-func (s *Service) longestClientWait() float64 {
-	longest := s.broker.LongestDeadline()
+// longestDeadline returns the longest deadline, in seconds, of the platform's classes and of all teams since the start.
+func (s *Service) longestDeadline() float64 {
+	return max(s.longestPlatformDeadline(), s.broker.LongestDeadline())
+}
+
+// longestPlatformDeadline returns the longest deadline, in seconds, that the platform's settings state.
+func (s *Service) longestPlatformDeadline() float64 {
+	longest := 0.0
 	for _, class := range s.conf.Settings.TrafficClasses {
-		longest = max(longest, cmp.Or(class.Deadline, defaultClientWaitSeconds))
+		longest = max(longest, class.Deadline)
 	}
-	return longest
+	return cmp.Or(longest, defaultClientWaitSeconds)
 }
 
-// endAtDeadline ends the process even if requests are open. It waits only for long values in flight, until latest at
-// most (seconds of the loop's clock): a SIGKILL in that time cuts them off no earlier than ending here would.
-func (s *Service) endAtDeadline(latest float64) {
-	if s.clients.frontend.OpenBodyStreams() == 0 || s.loop.Now() > latest {
-		s.answerAllAndEnd()
-		return
-	}
-	s.loop.After(longValuePollSeconds, func() { s.endAtDeadline(latest) })
+// earliestKill returns the shortest time, in seconds, between SIGTERM and SIGKILL. The platform derives it from the
+// traffic classes in its own settings: the deadlines of teams, and the times that clients state, do not extend it.
+func (s *Service) earliestKill() float64 {
+	return min(s.longestPlatformDeadline(), maxKillWaitSeconds) + killMarginSeconds
 }
 
-// answerAllAndEnd sends a final answer to all open requests, rejects new ones, and ends the process after clients have
-// had time to read the answers.
-func (s *Service) answerAllAndEnd() {
+// answerOpenRequests gives all open requests their final answers, rejects new ones, and ends the process after clients
+// have had time to read the answers. It waits only for long values in flight, until latest at most (seconds of the
+// loop's clock): a SIGKILL in that time cuts them off no earlier than ending here would.
+func (s *Service) answerOpenRequests(latest float64) {
+	if s.clients.frontend.OpenBodyStreams() > 0 && s.loop.Now() <= latest {
+		s.loop.After(longValuePollSeconds, func() { s.answerOpenRequests(latest) })
+		return
+	}
+	s.log.Info().
+		Int("open", s.clients.frontend.OpenRequests()).
+		Int("long_values", s.clients.frontend.OpenBodyStreams()).
+		Msg("shutdown: open requests get their final answers")
 	for _, p := range s.pools.active() {
 		p.core.FailAll()
 	}
--- /dev/null
+++ b/internal/service/shutdown_test.go
@@ -0,0 +1,104 @@
+package service
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"bendtrestle/balancer"
+
+	"github.com/rs/zerolog"
+)
+
+// withDeadline returns baseConfig with another deadline of its traffic class.
+func withDeadline(deadline time.Duration) string {
+	return strings.Replace(baseConfig, `"hardStop":2000000000`, fmt.Sprintf(`"hardStop":%d`, deadline.Nanoseconds()), 1)
+}
+
+// answerLines reads a client's connection to its end, which must come before the given time, and returns the lines.
+func answerLines(t *testing.T, conn net.Conn, in *bufio.Reader, before time.Time) []string {
+	t.Helper()
+	conn.SetReadDeadline(before)
+	text, err := io.ReadAll(in)
+	if err != nil {
+		t.Errorf("got %q, then %v, want the end of the connection before the earliest SIGKILL", text, err)
+	}
+	return strings.Split(strings.TrimSuffix(string(text), "\r\n"), "\r\n")
+}
+
+// wantErrorLines checks that a client got so many answers, all of them errors.
+func wantErrorLines(t *testing.T, lines []string, count int) {
+	t.Helper()
+	failed := 0
+	for _, line := range lines {
+		if strings.HasPrefix(line, "SERVER_ERROR ") {
+			failed++
+		}
+	}
+	if len(lines) != count || failed != count {
+		t.Errorf("got %q, want %d error lines", lines, count)
+	}
+}
+
+// A class has a deadline of 6 s, and every cache server hangs. SIGKILL arrives 3.7 s after SIGTERM, because the platform
+// waits for 3 s of a longer deadline at most: by then all requests must be answered, also those that came after SIGTERM
+// on a connection with an open request.
+func TestOpenRequestsAreAnsweredBeforeSIGKILLWithLongDeadlines(t *testing.T) {
+	for name, prepare := range map[string]func(*Service){
+		"restart":       func(*Service) {},
+		"upgrade":       func(s *Service) { s.restart.servingSuccessors = 1 },
+		"after a drain": func(s *Service) { s.setDraining(true) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			list := startScriptedServer(t, func(net.Conn, string, string) {})
+			s, addr, err := assembleConfig(withDeadline(6*time.Second), list, zerolog.Nop())
+			if err != nil {
+				t.Fatal(err)
+			}
+			s.runLoop(t)
+			waitServing(t, s)
+			conn, in := dialAndSend(t, addr, "", "")
+			fmt.Fprint(conn, "mg k1 v Oa Pc=t,d=6000\r\n")
+			waitUntil(t, "the first request", s, func() bool { return s.clients.frontend.OpenRequests() == 1 })
+			runOnLoop(s, func() { prepare(s) })
+			kill := time.Now().Add(3700 * time.Millisecond)
+			s.loop.Post(s.beginShutdown)
+			waitUntil(t, "the phase finishing", s, func() bool { return s.lifecycle.phase == Finishing })
+			fmt.Fprint(conn, "mg k2 v Ob Pc=t,d=6000\r\n")
+			wantErrorLines(t, answerLines(t, conn, in, kill), 2)
+		})
+	}
+}
+
+// The earliest SIGKILL follows from the deadlines that the platform's settings state.
+func TestFinalAnswersPrecedeEarliestKill(t *testing.T) {
+	for name, c := range map[string]struct {
+		deadlines []float64 // seconds, of the platform's traffic classes; 0: not stated
+		kill      float64   // seconds
+	}{
+		"short deadlines":                 {[]float64{0.75, 1.2}, 1.9},
+		"deadlines above 3 s":             {[]float64{6, 5, 3}, 3.7},
+		"one deadline is not stated":      {[]float64{0.6, 0}, 1.3},
+		"no deadline is stated":           {[]float64{0}, 1.7},
+		"a deadline of exactly 3 seconds": {[]float64{3}, 3.7},
+	} {
+		s, _, err := assembleConfig(baseConfig, "127.0.0.1:1", zerolog.Nop())
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.conf.Settings.TrafficClasses = nil
+		for _, deadline := range c.deadlines {
+			class := balancer.TrafficClass{Deadline: deadline}
+			s.conf.Settings.TrafficClasses = append(s.conf.Settings.TrafficClasses, class)
+		}
+		const rounding = 1e-9
+		if got := s.earliestKill(); got < c.kill-rounding || got > c.kill+rounding {
+			t.Errorf("%s: got %v s until the earliest SIGKILL, want %v", name, got, c.kill)
+		}
+	}
+}
