Give final answers at the end of a process without waiting for long values

While any long value was in flight when the time of a shutdown was over, the requests on all other connections waited for it, up to 30 s, and were lost at SIGKILL.

Change: the answers are given on time; a long value delays only the end of the process.

Evidence: TestLongValueDoesNotDelayFinalAnswersAtShutdown fails before the change (no answer until the earliest SIGKILL) and passes after it.

--- a/internal/service/lifecycle.go
+++ b/internal/service/lifecycle.go
@@ -93,7 +93,7 @@
 		Int("open", s.clients.frontend.OpenRequests()).
 		Msg("shutdown begins")
 	s.clients.frontend.SetFinalDeadline(deadline)
-	s.loop.Timer(func() { s.answerOpenRequests(deadline + longValueExtraSeconds) }).Set(deadline)
+	s.loop.Timer(s.answerOpenRequests).Set(deadline)
 }
 
 // longestDeadline returns the longest deadline, in seconds, of the platform's classes and of all teams since the start.
@@ -117,13 +117,8 @@
 }
 
 // answerOpenRequests gives all open requests their final answers, rejects new ones, and ends the process after clients
-// have had time to read the answers. It waits only for long values in flight, until latest at most (seconds of the
-// loop's clock): a SIGKILL in that time cuts them off no earlier than ending here would.
-func (s *Service) answerOpenRequests(latest float64) {
-	if s.clients.frontend.OpenBodyStreams() > 0 && s.loop.Now() <= latest {
-		s.loop.After(longValuePollSeconds, func() { s.answerOpenRequests(latest) })
-		return
-	}
+// have had time to read the answers. Long values in flight do not delay the answers on other connections.
+func (s *Service) answerOpenRequests() {
 	s.log.Info().
 		Int("open", s.clients.frontend.OpenRequests()).
 		Int("long_values", s.clients.frontend.OpenBodyStreams()).
@@ -134,8 +129,19 @@
 	for _, p := range s.pools.retiring {
 		p.core.FailAll()
 	}
+	latest := s.loop.Now() + longValueExtraSeconds
 	s.loop.After(lastAnswersSeconds/2, s.clients.frontend.StopReading)
-	s.loop.After(lastAnswersSeconds, s.end)
+	s.loop.After(lastAnswersSeconds, func() { s.endAfterLongValues(latest) })
+}
+
+// endAfterLongValues ends the process once no long value is in flight, or at latest (seconds of the loop's clock). A
+// SIGKILL in that time cuts them off no earlier than ending here would.
+func (s *Service) endAfterLongValues(latest float64) {
+	if s.clients.frontend.OpenBodyStreams() == 0 || s.loop.Now() > latest {
+		s.end()
+		return
+	}
+	s.loop.After(longValuePollSeconds, func() { s.endAfterLongValues(latest) })
 }
 
 // finish stops accepting connections and closes each open one once it is idle.
--- a/internal/service/shutdown_test.go
+++ b/internal/service/shutdown_test.go
@@ -75,6 +75,32 @@
 	}
 }
 
+// A long value is in flight when the shutdown's time is over, and its server falls silent. The final answers on other
+// connections must not wait for it.
+func TestLongValueDoesNotDelayFinalAnswersAtShutdown(t *testing.T) {
+	list := startScriptedServer(t, func(conn net.Conn, id, key string) {
+		if key != "hangs" {
+			serveLongValues(conn, id, key)
+		}
+	})
+	s, addr, err := assembleConfig(withoutDeadline, list, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.runLoop(t)
+	waitServing(t, s)
+	_, longIn := dialAndSend(t, addr, "a", "silent")
+	longIn.ReadString('\n')
+	conn, in := dialAndSend(t, addr, "", "")
+	fmt.Fprint(conn, "mg hangs v Ob Pc=t,d=60000\r\n")
+	waitUntil(t, "both requests", s, func() bool { return s.clients.frontend.OpenRequests() == 2 })
+	kill := time.Now().Add(1700 * time.Millisecond)
+	s.loop.Post(s.beginShutdown)
+	waitUntil(t, "the phase finishing", s, func() bool { return s.lifecycle.phase == Finishing })
+	fmt.Fprint(conn, "mg hangs v Oc Pc=t,d=60000\r\n")
+	wantErrorLines(t, answerLines(t, conn, in, kill), 2)
+}
+
 // The earliest SIGKILL follows from the deadlines that the platform's settings state.
 func TestFinalAnswersPrecedeEarliestKill(t *testing.T) {
 	for name, c := range map[string]struct {
