Keep the answers behind a long value whose server crashes while it waits

Cause: the attempt was settled as succeeded with the value's first byte, before its client could take it. When the connection broke, neither a retry nor an error answer was possible, and the client's connection was closed.

Change: the core holds such a value until the client's turn and ends the attempt then. The upstream reports the loss of a value that waits: an end of the connection with too few bytes in front of it, or silence. The balancer then decides on a retry as for any lost connection.

--- a/internal/eventloop/close.go
+++ b/internal/eventloop/close.go
@@ -16,6 +16,10 @@
 	}
 	c.peerEnded = true
 	c.changeReadingLater()
+	observer, observes := c.handler.(EndObserver)
+	if observes {
+		c.loop.Defer(observer.PeerEnded)
+	}
 }
 
 // closeAndNotify closes the connection and, unless it was finishing, notifies the handler after the current callback.
--- a/internal/eventloop/conn.go
+++ b/internal/eventloop/conn.go
@@ -19,6 +19,13 @@
 	Closed()  // the peer has ended the connection, or it was never established; it is closed already
 }
 
+// EndObserver is a Handler that is also notified of the peer's end while bytes in front of that end are unread. Closed
+// follows once they have been read.
+type EndObserver interface {
+	Handler
+	PeerEnded()
+}
+
 // Conn is one TCP connection with a ring buffer per direction. Its methods are called on the loop's goroutine only.
 //
 // Its phases are connecting (dialled, not open yet), open, and then one of three ends. Close and Reset end it
--- a/internal/eventloop/peek.go
+++ b/internal/eventloop/peek.go
@@ -54,6 +54,19 @@
 	return err == nil && ready > 0
 }
 
+// BytesBeforeEnd returns the number of bytes in In and in the socket, if the peer has ended the connection: no more will
+// follow. Otherwise ended is false.
+func (c *Conn) BytesBeforeEnd() (bytes int, ended bool) {
+	if !c.peerEnded && !c.PeerClosed() {
+		return 0, false
+	}
+	inSocket, err := unix.IoctlGetInt(c.fd, unix.SIOCINQ)
+	if err != nil {
+		inSocket = 0
+	}
+	return c.In.Len() + inSocket, true
+}
+
 // EndedByReset reports whether a connection that has ended was reset. In that case the bytes received are incomplete.
 func (c *Conn) EndedByReset() bool {
 	if c.socketFailed() {
--- a/internal/frontend/answer.go
+++ b/internal/frontend/answer.go
@@ -16,6 +16,7 @@
 	parts         [][]byte
 	body          requestcore.BodyStream // follows the first part; nil: none
 	bodyBytes     int                    // bytes of the body that were written
+	onTurn        func()                 // called when no answer precedes this one any more; nil: no body waits
 }
 
 // Succeeded answers with a server's result; a body stream follows later.
@@ -36,6 +37,16 @@
 	a.complete(a.conn.codec.Failed(a.request))
 }
 
+// AwaitTurn reports whether no answer precedes this one in the connection's output; otherwise onTurn is called as soon
+// as none does. On a connection that has ended the turn has come, too: the body is then discarded.
+func (a *answer) AwaitTurn(onTurn func()) (now bool) {
+	if !a.conn.isOpen() || a.conn.isNext(a) {
+		return true
+	}
+	a.onTurn = onTurn
+	return false
+}
+
 // Disconnected reports whether the client has ended the connection. If the loop has not reported that yet, the
 // connection is closed after the current callback.
 func (a *answer) Disconnected() bool {
--- a/internal/frontend/golden_test.go
+++ b/internal/frontend/golden_test.go
@@ -37,6 +37,8 @@
 type bodyOfLength int
 
 func (b bodyOfLength) Length() int                     { return int(b) }
+func (bodyOfLength) SetOnBroken(func())                {}
+func (bodyOfLength) Broken() bool                      { return false }
 func (bodyOfLength) StartReading(requestcore.BodySink) {}
 func (bodyOfLength) ResumeReading()                    {}
 func (bodyOfLength) Discard()                          {}
--- a/internal/frontend/helpers_test.go
+++ b/internal/frontend/helpers_test.go
@@ -181,9 +181,11 @@
 // brokenBody is a body stream that breaks after one byte.
 type brokenBody struct{}
 
-func (brokenBody) Length() int    { return 99999 }
-func (brokenBody) ResumeReading() {}
-func (brokenBody) Discard()       {}
+func (brokenBody) Length() int        { return 99999 }
+func (brokenBody) SetOnBroken(func()) {}
+func (brokenBody) Broken() bool       { return false }
+func (brokenBody) ResumeReading()     {}
+func (brokenBody) Discard()           {}
 func (brokenBody) StartReading(sink requestcore.BodySink) {
 	sink.OnPart([]byte("x"))
 	sink.OnAborted()
--- a/internal/frontend/output.go
+++ b/internal/frontend/output.go
@@ -29,12 +29,28 @@
 	}
 }
 
+// isNext reports whether an incomplete answer is the next to be written, and all those before it are.
+func (c *ClientConn) isNext(a *answer) bool {
+	return len(c.segments) == 0 && len(c.answers) > 0 && c.answers[0] == a
+}
+
+// startNextBody calls the next answer's onTurn, if it waits for its turn, after the current callback.
+func (c *ClientConn) startNextBody() {
+	if len(c.answers) == 0 || c.answers[0].onTurn == nil {
+		return
+	}
+	next := c.answers[0]
+	c.frontend.loop.Defer(next.onTurn)
+	next.onTurn = nil
+}
+
 // Flushed writes the segments to the connection's buffer, and resumes reading if too many pending answers had paused
 // it. The event loop calls it when the buffer has room again.
 func (c *ClientConn) Flushed() {
 	if !c.writeSegments() {
 		return
 	}
+	c.startNextBody()
 	if !c.isFull() && !c.closing {
 		c.conn.Resume()
 		if c.conn.In.Len() > 0 {
--- a/internal/requestcore/attempt.go
+++ b/internal/requestcore/attempt.go
@@ -8,17 +8,29 @@
 	number    int // index among the attempts of its request, from 0
 	startedAt float64
 	pending   PendingAttempt // nil once it has ended, or if it was never sent
+	held      *heldBody      // nil: no value waits for the client
 	zone      string
 	zoneToken uint64 // from ZoneObserver.AttemptStarted; 0: the attempt is not observed
 }
 
-// OnAttemptEnd handles the end of the attempt. The client gets a successful result before the usage observer and the
-// balancer are notified.
+// OnAttemptEnd handles the end of the attempt, as reported by the upstream. A value that is still being received is held
+// until its client can take it; the attempt ends then.
 func (a *attempt) OnAttemptEnd(outcome balancer.Outcome, result Result) {
+	elapsed := a.request.core.deps.Clock.Now() - a.startedAt
+	mustWait := result.Body != nil && a.request.client != nil && !a.request.client.AwaitTurn(a.onTurn)
+	if mustWait {
+		a.hold(result, elapsed)
+		return
+	}
+	a.end(outcome, result, elapsed)
+}
+
+// end ends the attempt, elapsed seconds after its start. The client gets a successful result before the usage observer
+// and the balancer are notified.
+func (a *attempt) end(outcome balancer.Outcome, result Result, elapsed float64) {
 	r := a.request
 	c := r.core
 	now := c.deps.Clock.Now()
-	elapsed := now - a.startedAt
 	r.outstanding--
 	a.pending = nil
 	if a.zoneToken > 0 {
--- a/internal/requestcore/body.go
+++ b/internal/requestcore/body.go
@@ -4,6 +4,11 @@
 // Discard, on the event loop's goroutine.
 type BodyStream interface {
 	Length() int // of the whole value, in bytes
+	// SetOnBroken sets a function that is called, at most once and not from within this call, if it becomes known before
+	// StartReading or Discard that the rest of the value cannot be received.
+	SetOnBroken(call func())
+	// Broken reports whether it is known that the rest of the value cannot be received.
+	Broken() bool
 	// StartReading passes the value to a sink from now on.
 	StartReading(sink BodySink)
 	// ResumeReading is called when the sink has room again, after OnPart accepted fewer bytes than it was given.
--- a/internal/requestcore/core_test.go
+++ b/internal/requestcore/core_test.go
@@ -48,6 +48,8 @@
 func (a *answers) Failed()            { a.failed++ }
 func (a *answers) Disconnected() bool { return false }
 
+func (a *answers) AwaitTurn(func()) bool { return true }
+
 func newCore(idempotency balancer.Idempotency) (*Core, *fakeUpstream) {
 	upstream := &fakeUpstream{now: 1000}
 	settings := balancer.Settings{CancellationAllowed: true, MaxAttempts: 3, TrafficClasses: []balancer.TrafficClass{
--- a/internal/requestcore/doc.go
+++ b/internal/requestcore/doc.go
@@ -24,5 +24,6 @@
 //	core.go          Core: calls from front ends and the service
 //	openrequest.go   a request until it is removed
 //	attempt.go       an attempt until it ends
+//	heldbody.go      a value that waits until its client can take it
 //	host.go          Core: calls from the balancer
 package requestcore
--- a/internal/requestcore/request.go
+++ b/internal/requestcore/request.go
@@ -76,6 +76,11 @@
 	Rejected(retryAfter float64)
 	Failed()
 
+	// AwaitTurn reports whether a value that is still being received would be passed on at once. Otherwise the answers to
+	// earlier requests of the connection are not written yet, and onTurn is called once, after the callback in which they
+	// are.
+	AwaitTurn(onTurn func()) (now bool)
+
 	// Disconnected reports whether the client's connection has ended. The core may not have been notified yet, for
 	// example after the event loop was stopped for a while; Core.OnClientDisconnected then follows after the current
 	// callback.
--- a/internal/service/servers_test.go
+++ b/internal/service/servers_test.go
@@ -24,6 +24,16 @@
 // startScriptedServer starts a cache server that answers commands by a function of their ids and keys, and a list
 // service whose list names it s-1.
 func startScriptedServer(t *testing.T, answer func(conn net.Conn, id, key string)) (discovery string) {
+	return startScriptedServers(t, answer, "s-1")
+}
+
+// startListOfTwo is startScriptedServer with a list that names two servers, s-1 and s-2, at the same address.
+func startListOfTwo(t *testing.T, answer func(conn net.Conn, id, key string)) (discovery string) {
+	return startScriptedServers(t, answer, "s-1", "s-2")
+}
+
+// startScriptedServers starts a cache server, and a list service whose list names it by the given names.
+func startScriptedServers(t *testing.T, answer func(conn net.Conn, id, key string), names ...string) (discovery string) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -38,12 +48,16 @@
 			go answerCommands(conn, answer)
 		}
 	}()
+	var instances []string
+	for _, name := range names {
+		instances = append(instances, fmt.Sprintf(`{"instanceId":"%s","hostPort":"%s","lifecycle":"ready","weight":1}`,
+			name, listener.Addr()))
+	}
 	list := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.RawQuery != "" { // a long poll for changes, of which there are none
 			<-r.Context().Done()
 		}
-		fmt.Fprintf(w, `{"generation":1,"reset":true,"instances":[
-			{"instanceId":"s-1","hostPort":"%s","lifecycle":"ready","weight":1}]}`, listener.Addr())
+		fmt.Fprintf(w, `{"generation":1,"reset":true,"instances":[%s]}`, strings.Join(instances, ","))
 	}))
 	t.Cleanup(func() {
 		list.CloseClientConnections()
--- a/internal/upstream/bodystream.go
+++ b/internal/upstream/bodystream.go
@@ -5,17 +5,47 @@
 	"bendtrestle/internal/requestcore"
 )
 
+// bodyEndBytes is the length of the line end behind a body.
+const bodyEndBytes = 2
+
 // bodyStream forwards a body from a connection to a sink. It implements requestcore.BodyStream.
 type bodyStream struct {
 	connection *connection // nil once the body is complete or broken
 	length     int         // bytes
 	sink       requestcore.BodySink
+	broken     bool                       // the rest cannot be received
+	onBroken   func()                     // called when that becomes known while there is no sink; may be nil
 	onEnd      func(requestcore.BodySink) // the sink's method for the way in which the body ended; nil: not ended
 }
 
 // Length returns the length of the body in bytes.
 func (b *bodyStream) Length() int { return b.length }
 
+// SetOnBroken sets a function that is called if the rest of the body is lost before StartReading.
+func (b *bodyStream) SetOnBroken(call func()) { b.onBroken = call }
+
+// Broken reports whether it is known that the rest of the body cannot be received. It also detects, and then closes, a
+// connection that has ended without the loop having reported that.
+func (b *bodyStream) Broken() bool {
+	if b.connection != nil {
+		b.connection.failIfCutShort()
+	}
+	return b.broken
+}
+
+// isWaiting reports whether no byte of the body has been forwarded, because there is no sink yet.
+func (b *bodyStream) isWaiting() bool { return b.sink == nil && b.onEnd == nil }
+
+// cutShort reports whether the server has ended the connection before the end of a body of which nothing has been
+// forwarded: fewer bytes remain than the body and its line end have.
+func (b *bodyStream) cutShort() bool {
+	if b.connection == nil || !b.isWaiting() {
+		return false
+	}
+	bytes, ended := b.connection.socket.BytesBeforeEnd()
+	return ended && bytes < b.length+bodyEndBytes
+}
+
 // StartReading forwards the body to a sink from now on.
 func (b *bodyStream) StartReading(sink requestcore.BodySink) {
 	b.sink = sink
@@ -130,5 +160,27 @@
 	}
 	c.body = nil
 	body.connection = nil
-	c.pool.pools.loop.Defer(func() { body.finish(requestcore.BodySink.OnAborted) })
+	body.broken = true
+	c.pool.pools.loop.Defer(func() {
+		waiting := body.isWaiting()
+		body.finish(requestcore.BodySink.OnAborted)
+		if waiting && body.onBroken != nil {
+			body.onBroken()
+		}
+	})
+}
+
+// PeerEnded is called when the server has ended the connection and bytes before that end are unread.
+func (c *connection) PeerEnded() {
+	if c.isOpen() {
+		c.failIfCutShort()
+	}
+}
+
+// failIfCutShort closes the connection if the server has ended it before the end of a body of which no client has
+// received a part: the body's request can be retried.
+func (c *connection) failIfCutShort() {
+	if c.body != nil && c.body.cutShort() {
+		c.fail(ServerClosed)
+	}
 }
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -191,9 +191,7 @@
 		c.pool.pools.closeCounts[reason]++
 	}
 	if c.body != nil && c.body.wanted() && reason != ClientDisconnected {
-		c.pool.pools.log.Warn().Stringer("server", c.addr).Str("why", CloseReasons[reason]).
-			Int("length", c.body.length).
-			Msg("connection ended within a value; the client gets an incomplete value")
+		c.logBrokenBody(reason)
 	}
 	for _, a := range c.inFlight {
 		outcome := balancer.ConnectFailed
@@ -213,6 +211,17 @@
 	c.pool.assignWaiting()
 }
 
+// logBrokenBody logs that the rest of a body is lost, and what that means for its client.
+func (c *connection) logBrokenBody(reason CloseReason) {
+	message := "connection ended within a value; the client gets an incomplete value"
+	if c.body.isWaiting() {
+		message = "connection ended within a value of which the client has received nothing; its attempt fails"
+	}
+	c.pool.pools.log.Warn().Stringer("server", c.addr).Str("why", CloseReasons[reason]).
+		Int("length", c.body.length).
+		Msg(message)
+}
+
 // isOpen reports whether the connection has not been closed.
 func (c *connection) isOpen() bool { return slices.Contains(c.pool.connections, c) }
 
--- a/internal/upstream/replies.go
+++ b/internal/upstream/replies.go
@@ -47,7 +47,7 @@
 // has not read yet, are no stall.
 func (c *connection) onStallTimeout() {
 	switch {
-	case c.body != nil && c.socket.In.Len() > 0:
+	case c.body != nil && c.socket.In.Len() > 0 && !c.waitingBodyStalled():
 		c.setTimer(bodyStallSeconds)
 	case c.socket.Unread():
 		c.setTimer(c.pool.pools.limits.StallTimeout)
@@ -56,6 +56,12 @@
 	}
 }
 
+// waitingBodyStalled reports whether the server has stopped sending a body that waits for its client: the buffer has
+// room for more, and nothing is unread.
+func (c *connection) waitingBodyStalled() bool {
+	return c.body.isWaiting() && c.socket.In.Room() > 0 && !c.socket.Unread()
+}
+
 // OnUnexpectedReply handles bytes that no server should have sent. The state of the connection is unknown, so it is
 // closed.
 func (c *connection) OnUnexpectedReply(reply string) { c.failOnReply(reply, UnexpectedReply) }
