Keep servers withdrawn that an older list names as ready

Cause: a whole list of a lower generation was accepted 2 s after its watch began, and undid what a list of a higher generation had withdrawn. On a running watch, and after a second SIGHUP, it was accepted at once. A successor with another list service dropped its predecessor's list.

Change: package membership remembers the generation and time of each withdrawal, drain or removal. A successor takes over its predecessor's withdrawals.

The test TestLaggingListServiceDoesNotRevertDrain wanted the drain undone after 2 s, which is the fault; it now wants it kept, and the service believed once it had the time to catch up.

--- a/internal/service/endpointwatch.go
+++ b/internal/service/endpointwatch.go
@@ -9,15 +9,18 @@
 	"bendtrestle/internal/discovery"
 )
 
-// catchUpSeconds is how long a list service may lag behind the last known generation after its watch began. After that
-// time a lower generation means that the service numbers its generations independently.
-const catchUpSeconds = 2
+// refuseOlderSeconds is how long after its watch began a list of a lower generation than the last known is refused, except
+// for its drains. After that time the list is followed, since its service may number its generations independently, but
+// servers that a later list has withdrawn stay withdrawn for longer (package membership).
+const refuseOlderSeconds = 2
 
 // endpointWatch is a watch of one list service. It polls on a goroutine of its own, which posts the lists to the loop.
 type endpointWatch struct {
 	address         string
 	startedAt       float64 // seconds of the loop's clock
+	generationsFrom float64 // when its service was first followed or began to number its generations anew; likewise
 	knownGeneration uint64  // the last one known when the watch began
+	followed        bool    // a list of it was applied
 	stop            context.CancelFunc
 }
 
@@ -36,7 +39,14 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	start := p.watchStart()
-	w := &endpointWatch{address: address, startedAt: p.service.loop.Now(), knownGeneration: start.Generation, stop: stop}
+	now := p.service.loop.Now()
+	w := &endpointWatch{
+		address:         address,
+		startedAt:       now,
+		generationsFrom: now,
+		knownGeneration: start.Generation,
+		stop:            stop,
+	}
 	p.nextWatch = w
 	go discovery.Watch(ctx, address, start, p.listPoster(ctx, w), p.failurePoster(w),
 		p.log.With().Str("discovery", address).Logger())
@@ -99,7 +109,8 @@
 		return nil // a watch that has been replaced
 	}
 	known := max(p.generation, w.knownGeneration)
-	if list.Full && list.Generation < known && p.service.loop.Now()-w.startedAt < catchUpSeconds {
+	now := p.service.loop.Now()
+	if list.Full && list.Generation < known && now-w.startedAt < refuseOlderSeconds {
 		p.applyDrains(list)
 		return fmt.Errorf("%w: %d, %d", discovery.ErrOutdated, list.Generation, known)
 	}
@@ -110,6 +121,11 @@
 		p.watch = w
 		p.nextWatch = nil
 	}
+	if list.Full && list.Generation < p.generation && w.followed {
+		w.generationsFrom = now
+	}
+	w.followed = true
+	p.sourceSince = w.generationsFrom
 	p.generation = list.Generation
 	update := balancer.UpdateDelta
 	if list.Full {
--- a/internal/service/endpointwatch_test.go
+++ b/internal/service/endpointwatch_test.go
@@ -12,6 +12,7 @@
 
 	"bendtrestle/balancer"
 	"bendtrestle/internal/discovery"
+	"bendtrestle/internal/policy/membership"
 
 	"github.com/rs/zerolog"
 )
@@ -73,6 +74,7 @@
 // A reload names another list service while a list of the old one is in flight. A drain in that list must not be
 // reverted by the first list of the new service, which lags behind.
 func TestLaggingListServiceDoesNotRevertDrain(t *testing.T) {
+	t.Parallel()
 	s, _ := startProcess(t, freeAddress(t), startCacheServer(t, 0), "")
 	waitServing(t, s)
 	p := s.pools.platform
@@ -99,14 +101,19 @@
 		if p.watch != previous {
 			t.Error("the old watch was replaced before the new service sent an accepted list")
 		}
-		next.startedAt -= catchUpSeconds // from then on it is taken to number generations independently
-		if err := p.onList(next, endpointList(7, "127.0.0.1:2", "ready")); err != nil || avoided() || p.watch != next {
-			t.Errorf("lower generation after catchUpSeconds: got %v, want the list applied", err)
+		next.startedAt -= refuseOlderSeconds // from then on it may number its generations independently
+		if err := p.onList(next, endpointList(7, "127.0.0.1:2", "ready")); err != nil || !avoided() || p.watch != next {
+			t.Errorf("lower generation after refuseOlderSeconds: got %v, want the list applied and the drain kept", err)
 		}
-		if err := p.onList(previous, endpointList(43, "127.0.0.1:2", "draining")); err != nil || avoided() {
-			t.Errorf("list of the old service after the change: got %v, want it ignored", err)
+		if err := p.onList(previous, endpointList(44, "127.0.0.1:2", "ready")); err != nil || !avoided() || p.generation != 7 {
+			t.Errorf("list of the old service after the change: got %v and generation %d, want it ignored", err, p.generation)
 		}
 	})
+	toldAt := time.Now()
+	waitFor(t, "the service that numbers anew to be believed", 700, func() bool { return !callOnLoop(s, avoided) })
+	if kept := time.Since(toldAt).Seconds(); kept < membership.ListDelaySeconds-1 {
+		t.Errorf("the drain was kept for %.1f s, want some %v s", kept, membership.ListDelaySeconds)
+	}
 }
 
 // A reload names another list service before the first one has sent a list. A drain in the list that the process
@@ -211,7 +218,7 @@
 			{"the same, without", 42, "ready", false},
 			{"restarted at 0", 0, "draining", true},
 		} {
-			p.watch.startedAt -= catchUpSeconds
+			p.watch.startedAt -= refuseOlderSeconds
 			err := p.onList(p.watch, endpointList(list.generation, "127.0.0.1:2", list.state))
 			if avoided := p.core.Avoids(discovery.ID("s-1")); err != nil || avoided != list.avoided {
 				t.Errorf("%s: got %v and avoided %v, want no error and %v", list.name, err, avoided, list.avoided)
--- a/internal/service/hotrestart.go
+++ b/internal/service/hotrestart.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 
+	"bendtrestle/balancer"
 	"bendtrestle/internal/hotrestart"
 
 	"golang.org/x/sys/unix"
@@ -67,18 +68,20 @@
 }
 
 // loadRestartState adopts the predecessor's endpoint list if it is of the same list service and no older than the list
-// that this process already knows.
+// that this process already knows. Otherwise it adopts only the withdrawals of servers: this process's list service may
+// not know of them yet.
 func (s *Service) loadRestartState(text []byte) {
 	var state restartState
 	if json.Unmarshal(text, &state) != nil {
 		return
 	}
-	if state.Discovery != s.conf.Discovery || len(state.List.Entries) == 0 {
+	list := state.List.list()
+	sameService := state.Discovery == s.conf.Discovery && len(list.Instances) > 0
+	if sameService && list.Generation >= s.conf.InitialEndpoints.Generation {
+		s.conf.InitialEndpoints = list
 		return
 	}
-	if state.List.Generation >= s.conf.InitialEndpoints.Generation {
-		s.conf.InitialEndpoints = state.List.list()
-	}
+	s.pools.platform.recordWithdrawals(balancer.UpdateSaved, list)
 }
 
 // offerSockets listens for a successor, which may take over the sockets.
--- a/internal/service/pool.go
+++ b/internal/service/pool.go
@@ -5,6 +5,8 @@
 
 	"bendtrestle/balancer"
 	"bendtrestle/internal/discovery"
+	"bendtrestle/internal/eventloop"
+	"bendtrestle/internal/policy/membership"
 	"bendtrestle/internal/policy/pollschedule"
 	"bendtrestle/internal/requestcore"
 	"bendtrestle/internal/upstream"
@@ -31,6 +33,12 @@
 	generation  uint64                        // of the last list that the list service sent
 	initialList discovery.EndpointList        // the list known at the start, until the first watch begins
 
+	withdrawals *membership.Tracker  // servers that a list has named as draining or has removed
+	held        map[uint64]heldEntry // entries of the current list that are not believed yet, by the server's id
+	heldTimer   *eventloop.Timer     // calls releaseHeld; nil: no entry was held so far
+	nextRelease float64              // when it is due, in seconds of the loop's clock; infinite: never
+	sourceSince float64              // when the current list's service was first followed, or began to number anew
+
 	schedule  pollschedule.Schedule // of polls of the list service
 	watch     *endpointWatch        // the current watch
 	nextWatch *endpointWatch        // its replacement, until that has received a full list
@@ -59,7 +67,12 @@
 		endpoints: map[uint64]discovery.Instance{},
 		ready:     map[uint64]bool{},
 		known:     map[uint64]bool{},
-		schedule:  pollschedule.ForLocalAgent(s.conf.DrainGrace, settings.Seed),
+
+		withdrawals: membership.NewTracker(),
+		held:        map[uint64]heldEntry{},
+		sourceSince: s.loop.Now(),
+
+		schedule: pollschedule.ForLocalAgent(s.conf.DrainGrace, settings.Seed),
 	}
 	if p.polled {
 		p.schedule = pollschedule.ForSharedService(settings.PollInterval, settings.Seed)
--- a/internal/service/successor.go
+++ b/internal/service/successor.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"maps"
 
+	"bendtrestle/balancer"
+	"bendtrestle/internal/discovery"
 	"bendtrestle/internal/hotrestart"
 )
 
@@ -53,11 +55,19 @@
 func (s *Service) restartState() restartState {
 	platform := s.pools.platform
 	state := restartState{Discovery: s.conf.Discovery}
-	state.List.Generation = max(platform.generation, s.conf.InitialEndpoints.Generation)
+	state.List.Generation = max(platform.latestGeneration(), s.conf.InitialEndpoints.Generation)
 	state.List.Full = true
 	for _, entry := range platform.endpoints {
 		state.List.Entries = append(state.List.Entries, saveEntry(entry))
 	}
+	for _, id := range platform.withdrawals.RecentlyRemoved(s.loop.Now()) {
+		_, listed := platform.endpoints[id]
+		if listed {
+			continue
+		}
+		removed := discovery.Instance{Endpoint: balancer.Endpoint{ID: id, State: balancer.Removed}}
+		state.List.Entries = append(state.List.Entries, saveEntry(removed))
+	}
 	return state
 }
 
