Answer in a drain what clients had sent before their connections are closed

A client had sent 200 commands at once before POST /drain, and its cache servers hung: 32 got their answers, the others the end of the connection.

Cause: 1.5 s after the start of a drain no connection was read any more, and each was closed after the answers to what had been read.

Evidence: TestCommandsBeyondThePendingOnesAreAnsweredAtTheEnd/drain failed before the change (32 of 200 answers) and passes; its case of a restart passed before. TestRejectNewAnswersWhatWasBegun and the tests of the drain pass.

--- a/internal/frontend/clientconn.go
+++ b/internal/frontend/clientconn.go
@@ -12,6 +12,8 @@
 
 	activity
 	output
+	rejectsSince  float64   // when it began to reject further requests, by the loop's clock; 0: it does not
+	wasDrained    bool      // no answer was pending at the last sweep, and it rejects further requests
 	reservedBytes int       // bytes reserved for the long write that is being received
 	badCommands   int       // invalid commands received
 	cutReason     CutReason // why the connection ends, if an answer is pending on it
--- a/internal/frontend/config.go
+++ b/internal/frontend/config.go
@@ -43,6 +43,9 @@
 	// commandSeconds is how long a command may take to become complete, and how long a client may take to send its
 	// first one. Clients are allowed 2 s.
 	commandSeconds = 2.4
+	// drainCommandSeconds is how long a command that has begun may take to become complete once a connection rejects
+	// requests. Clients may take 2 s, and connections are to be closed 4 s after the start of a drain.
+	drainCommandSeconds = 1.9
 	// longWriteStallSeconds is how long a long write may go without receiving a byte.
 	longWriteStallSeconds = 5
 	// longWriteSeconds is how long a long write may take in total.
--- a/internal/frontend/drain.go
+++ b/internal/frontend/drain.go
@@ -16,11 +16,50 @@
 // closed any more, either.
 func (f *Frontend) SetDraining(on bool) {
 	f.draining = on
-	if !on {
-		f.closingIdle = false
+	if on {
+		return
+	}
+	f.closingIdle = false
+	for c := range f.connections {
+		c.rejectsSince = 0
+	}
+}
+
+// RejectNew rejects further requests on the connections that are open now. Each is read until all that its client has
+// sent is answered, and is closed then, even if its client goes on sending. Connections accepted later are served.
+func (f *Frontend) RejectNew() {
+	now := f.loop.Now()
+	for c := range f.connections {
+		c.rejectsSince = now
 	}
 }
 
+// stopOnceDrained stops reading from a connection that rejects requests, once two sweeps have found it without a pending
+// answer. By then it has read what its client had sent.
+func (c *ClientConn) stopOnceDrained(now float64) {
+	drained := c.isDrained(now)
+	if drained && c.wasDrained {
+		c.stopReading()
+	}
+	c.wasDrained = drained
+}
+
+// isDrained reports whether a connection that rejects requests has no pending answer. A command that has begun may take
+// drainCommandSeconds to become complete.
+func (c *ClientConn) isDrained(now float64) bool {
+	if c.rejectsSince == 0 || !c.hasNoPendingAnswers() {
+		return false
+	}
+	return !c.codec.InCommand() || now-c.rejectsSince > drainCommandSeconds
+}
+
+// stopReading reads no more commands, and closes the connection when its pending answers are written.
+func (c *ClientConn) stopReading() {
+	c.closing = true
+	c.conn.Pause()
+	c.closeIfIdle()
+}
+
 // SetFinalDeadline sets when the process ends, by the loop's clock. Requests submitted from now on are answered before
 // that.
 func (f *Frontend) SetFinalDeadline(at float64) { f.finalDeadline = at }
@@ -37,9 +76,7 @@
 // client that sends commands without a pause would be served forever.
 func (f *Frontend) StopReading() {
 	for c := range f.connections {
-		c.closing = true
-		c.conn.Pause()
-		c.closeIfIdle()
+		c.stopReading()
 	}
 }
 
--- a/internal/frontend/drain_test.go
+++ b/internal/frontend/drain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -173,3 +174,40 @@
 		s.expectServed(name, in)
 	}
 }
+
+// In a drain, a command that has begun becomes complete only after further requests are rejected. It must be answered. A
+// client that never pauses is closed all the same, between two of its commands.
+func TestRejectNewAnswersWhatWasBegun(t *testing.T) {
+	s := startServer(t, ampleLimits)
+	begun, begunIn := s.dial()
+	fmt.Fprint(begun, "mg k v O1")
+	busy, busyIn := s.dial()
+	fmt.Fprint(busy, "mn\r\n")
+	expect(t, busyIn, "SERVER_ERROR starting\r\n")
+	for inCommand := false; !inCommand; {
+		s.onLoop(func() {
+			for c := range s.connections {
+				inCommand = inCommand || c.codec.InCommand()
+			}
+		})
+	}
+	s.onLoop(s.CloseIdle)
+	s.onLoop(s.RejectNew)
+	fmt.Fprint(begun, " Pc=t\r\n")
+	expect(t, begunIn, "SERVER_ERROR busy\r\n")
+	if _, err := begunIn.ReadByte(); err != io.EOF {
+		t.Errorf("after its answer: got %v, want the end of the connection", err)
+	}
+	neverPauses, in := s.dial()
+	fmt.Fprint(neverPauses, "mn\r\n")
+	expect(t, in, "SERVER_ERROR starting\r\n")
+	s.onLoop(s.RejectNew)
+	go func() {
+		for _, err := fmt.Fprint(neverPauses, "mn\r\nmn\r\n"); err == nil; _, err = fmt.Fprint(neverPauses, "mn\r\nmn\r\n") {
+		}
+	}()
+	text, err := io.ReadAll(in)
+	if err != nil && !errors.Is(err, syscall.ECONNRESET) || strings.Trim(string(text), "SERVER_ERROR starting\r\n") != "" {
+		t.Errorf("a client that never pauses: got %d bytes, %v, want answers and the end", len(text), err)
+	}
+}
--- a/internal/frontend/submit.go
+++ b/internal/frontend/submit.go
@@ -28,7 +28,7 @@
 	a := &answer{conn: c, request: request, route: route, class: request.Class}
 	f.openRequests++
 	c.answers = append(c.answers, a)
-	if !hasCapacity || expired {
+	if !hasCapacity || expired || c.rejectsSince > 0 {
 		c.closing = c.closing || c.overLimit
 		a.Rejected(0)
 		return true
--- a/internal/frontend/timeouts.go
+++ b/internal/frontend/timeouts.go
@@ -16,6 +16,10 @@
 }
 
 func (c *ClientConn) checkTimeouts(now float64) {
+	c.stopOnceDrained(now)
+	if !c.isOpen() {
+		return
+	}
 	switch {
 	case len(c.segments) > 0 || c.conn.Unsent() > 0:
 		c.checkUnreadAnswer(now)
--- a/internal/service/drain.go
+++ b/internal/service/drain.go
@@ -1,8 +1,8 @@
 package service
 
-// drainCloseSeconds is the time after the start of a drain from which no connection is read any more. The requirement
-// is that 4 s after the start of a drain no open request is younger than 2 s.
-const drainCloseSeconds = 1.5
+// drainRejectSeconds is the time after the start of a drain from which further requests are rejected. The requirement is
+// that 4 s after the start of a drain no open request is younger than 2 s.
+const drainRejectSeconds = 1.5
 
 // Drain sends clients away until Undrain. The process keeps running.
 func (h *adminHandler) Drain() error {
@@ -15,8 +15,8 @@
 }
 
 // setDraining begins or ends a drain. In a drain the health check fails immediately. After acceptAfterSignalSeconds
-// connections are closed as they become idle; after drainCloseSeconds all others are closed, once their requests are
-// answered.
+// connections are closed as they become idle; from drainRejectSeconds on the others reject further requests, and are
+// closed once all that their clients have sent is answered.
 func (s *Service) setDraining(on bool) error {
 	if s.lifecycle.phase >= Leaving {
 		return errShuttingDown
@@ -30,7 +30,7 @@
 	s.clients.frontend.SetDraining(on)
 	if on {
 		s.scheduleDrainStep(acceptAfterSignalSeconds, s.clients.frontend.CloseIdle)
-		s.scheduleDrainStep(drainCloseSeconds, s.clients.frontend.StopReading)
+		s.scheduleDrainStep(drainRejectSeconds, s.clients.frontend.RejectNew)
 	}
 	return nil
 }
--- a/internal/service/shutdown_test.go
+++ b/internal/service/shutdown_test.go
@@ -137,3 +137,33 @@
 		t.Errorf("got %v s between the final answers and SIGKILL, want 0.3 or more", finalAnswerLeadSeconds)
 	}
 }
+
+// A client sends many more commands at once than may be pending on a connection, and every cache server hangs. All of them
+// were taken before the shutdown or the drain began, and must be answered.
+func TestCommandsBeyondThePendingOnesAreAnsweredAtTheEnd(t *testing.T) {
+	const commands = 200
+	for name, begin := range map[string]func(*Service){
+		"restart": func(s *Service) { s.beginShutdown() },
+		"drain":   func(s *Service) { s.setDraining(true) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			list := startScriptedServer(t, func(net.Conn, string, string) {})
+			s, addr, err := assembleConfig(withDeadline(1500*time.Millisecond), list, zerolog.Nop())
+			if err != nil {
+				t.Fatal(err)
+			}
+			s.runLoop(t)
+			waitServing(t, s)
+			conn, in := dialAndSend(t, addr, "", "")
+			var batch strings.Builder
+			for i := range commands {
+				fmt.Fprintf(&batch, "mg k%d v Oa%d Pc=t,d=60000\r\n", i, i)
+			}
+			io.WriteString(conn, batch.String())
+			waitUntil(t, "the pending requests", s, func() bool { return s.clients.frontend.OpenRequests() == 32 })
+			runOnLoop(s, func() { begin(s) })
+			wantErrorLines(t, answerLines(t, conn, in, time.Now().Add(4*time.Second)), commands)
+		})
+	}
+}
