--- a/internal/service/endpointwatch.go
+++ b/internal/service/endpointwatch.go
@@ -92,8 +92,11 @@
 	}
 }
 
-// stopWatching ends the pool's watches.
+// stopWatching ends the pool's watches. Entries that are held stay held.
 func (p *pool) stopWatching() {
+	if p.heldTimer != nil {
+		p.heldTimer.Stop()
+	}
 	for _, w := range []*endpointWatch{p.watch, p.nextWatch} {
 		if w != nil {
 			w.stop()
