Add the tests that eight parts of the fixes had lacked

Thirteen parts of the fixes were taken out one by one on a scratch copy. The eighth, the end of the rejections with the drain, had not been tried in a form that compiles.

--- a/internal/frontend/drain_test.go
+++ b/internal/frontend/drain_test.go
@@ -213,3 +213,41 @@
 		t.Errorf("a client that never pauses: got %d bytes, %v, want answers and the end", len(text), err)
 	}
 }
+
+// sweepAll checks the timeouts of all connections, as a sweep does; the caller is on the loop.
+func (s testServer) sweepAll() {
+	for c := range s.connections {
+		c.checkTimeouts(s.loop.Now())
+	}
+}
+
+// In a drain two sweeps pass while a client's command is incomplete, and one finds a command unread in the socket.
+// Neither may end the connection. After the drain the connection serves again.
+func TestSweepsInADrainKeepWhatIsOnItsWay(t *testing.T) {
+	s := startServer(t, ampleLimits)
+	conn, in := s.dial()
+	fmt.Fprint(conn, "mn\r\nmg k v O3")
+	expect(t, in, "SERVER_ERROR starting\r\n")
+	for inCommand := false; !inCommand; {
+		s.onLoop(func() {
+			for c := range s.connections {
+				inCommand = c.codec.InCommand()
+			}
+		})
+	}
+	s.onLoop(func() {
+		s.RejectNew()
+		s.sweepAll()
+		s.sweepAll()
+	})
+	fmt.Fprint(conn, " Pc=t\r\n")
+	expect(t, in, "SERVER_ERROR busy\r\n")
+	s.onLoop(func() {
+		fmt.Fprint(conn, "mg k v O2 Pc=t\r\n") // unread during the sweep
+		s.sweepAll()
+	})
+	expect(t, in, "SERVER_ERROR busy\r\n")
+	s.onLoop(func() { s.SetDraining(false) })
+	fmt.Fprint(conn, "mg k v O1 Pc=t\r\n")
+	s.expectServed("after the drain", in)
+}
--- a/internal/requestcore/heldbody_test.go
+++ b/internal/requestcore/heldbody_test.go
@@ -12,11 +12,12 @@
 	onBroken func()
 	resumed  int
 	dropped  bool
+	broken   bool
 }
 
 func (b *fakeBody) Length() int                { return 10 }
 func (b *fakeBody) SetOnBroken(call func())    { b.onBroken = call }
-func (b *fakeBody) Broken() bool               { return false }
+func (b *fakeBody) Broken() bool               { return b.broken }
 func (b *fakeBody) StartReading(sink BodySink) { b.sink = sink }
 func (b *fakeBody) ResumeReading()             { b.resumed++ }
 func (b *fakeBody) Discard()                   { b.dropped = true }
@@ -168,8 +169,9 @@
 	core, upstream := newCore(balancer.AtMostOnce)
 	core.deps.MaxReadAheadBytes = 19
 	inMemory, passed, broken := &waitingClient{}, &waitingClient{hasBehind: true}, &waitingClient{}
-	bodies := [3]*fakeBody{{}, {}, {}}
-	for i, client := range []*waitingClient{inMemory, passed, broken} {
+	brokenAtTurn := &waitingClient{}
+	bodies := [4]*fakeBody{{}, {}, {}, {}}
+	for i, client := range []*waitingClient{inMemory, passed, broken, brokenAtTurn} {
 		submitWithBody(core, upstream, client, bodies[i])
 	}
 	if bodies[0].sink == nil || bodies[1].sink != nil || core.readAheadBytes != 10 {
@@ -183,4 +185,10 @@
 	if broken.failed != 1 || !bodies[2].dropped {
 		t.Errorf("broken before its turn: got %+v, want one failed request", broken.answers)
 	}
+	bodies[3].broken = true // not reported yet
+	brokenAtTurn.onTurn()
+	bodies[3].onBroken()
+	if brokenAtTurn.answers != (answers{failed: 1}) {
+		t.Errorf("found broken at its turn: got %+v, want one failed request", brokenAtTurn.answers)
+	}
 }
--- a/internal/service/laggingagent_test.go
+++ b/internal/service/laggingagent_test.go
@@ -228,3 +228,30 @@
 		t.Errorf("a ready server was believed %v after SIGHUP, want 6 s at most, with half a second of slack", took)
 	}
 }
+
+// A server was withdrawn long ago, and then the agent of the running watch falls back to an older list. The time to
+// catch up starts with that list. A successor is told the generation that withdrew the server, not that of the older
+// list.
+func TestFallbackLongAfterAWithdrawal(t *testing.T) {
+	t.Parallel()
+	s, _ := startProcess(t, freeAddress(t), startCacheServer(t, 0), "")
+	waitServing(t, s)
+	runOnLoop(s, func() {
+		p := s.pools.platform
+		const longAgo = 100.0 // seconds
+		w := &endpointWatch{startedAt: s.loop.Now() - longAgo, generationsFrom: s.loop.Now() - longAgo, stop: func() {}}
+		p.stopWatching()
+		p.watch = w
+		p.nextWatch = nil
+		p.withdrawals.Withdraw(discovery.ID("s-1"), false, 43, s.loop.Now()-longAgo)
+		if err := p.onList(w, endpointList(43, "127.0.0.1:2", "draining")); err != nil {
+			t.Error(err)
+		}
+		if err := p.onList(w, endpointList(41, "127.0.0.1:2", "ready")); err != nil || isUsed(s) {
+			t.Errorf("the older list: got %v and the server used %v, want it followed and the server unused", err, isUsed(s))
+		}
+		if told := s.restartState().List.Generation; told != 43 || p.generation != 41 {
+			t.Errorf("got generation %d for a successor and %d here, want 43 and 41", told, p.generation)
+		}
+	})
+}
--- a/internal/service/shutdown_test.go
+++ b/internal/service/shutdown_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -167,3 +168,36 @@
 		})
 	}
 }
+
+// The time of the final answers is derived from the platform's deadlines. A longer one of a team must not move it
+// beyond SIGKILL, and it is never before the last connections are accepted.
+func TestTimeOfFinalAnswers(t *testing.T) {
+	for name, c := range map[string]struct {
+		deadline time.Duration // of the platform's class
+		team     bool          // a team has a deadline of 1.9 s
+		want     float64       // seconds after SIGTERM
+	}{
+		"a team with a longer deadline": {500 * time.Millisecond, true, 0.9},
+		"a very short deadline":         {50 * time.Millisecond, false, 0.5},
+	} {
+		log := &logBuffer{}
+		text := strings.Replace(withDeadline(c.deadline), `"promisedTime":1000000000`, `"promisedTime":50000000`, 1)
+		s, _, err := assembleConfig(text, "127.0.0.1:1", zerolog.New(log))
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.runLoop(t)
+		if c.team {
+			operators := parseOperators(t, fmt.Sprintf(contractFile, "127.0.0.1:1", "", freeAddress(t), 2.0))
+			runOnLoop(s, func() { s.reconfigure(Setup{Platform: s.conf, Operators: operators}) })
+		}
+		runOnLoop(s, s.beginShutdown)
+		const field, rounding = `"answered_within":`, 1e-9
+		_, logged, _ := strings.Cut(log.text(), field)
+		logged, _, _ = strings.Cut(logged, ",")
+		got, err := strconv.ParseFloat(logged, 64)
+		if err != nil || got < c.want-rounding || got > c.want+rounding {
+			t.Errorf("%s: the log states %q, want %v", name, logged, c.want)
+		}
+	}
+}
