--- a/internal/frontend/helpers_test.go
+++ b/internal/frontend/helpers_test.go
@@ -248,3 +248,38 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// waitForFullSendBuffer waits until an answer is held for each client and the kernel neither accepts nor sends any more
+// of it, which it must stop doing while the client does not read.
+func (s testServer) waitForFullSendBuffer() {
+	const stableChecks = 5
+	last := map[*ClientConn][2]uint64{}
+	for stable := 0; stable < stableChecks; time.Sleep(20 * time.Millisecond) {
+		stable++
+		s.onLoop(func() {
+			for c := range s.connections {
+				sent := [2]uint64{c.conn.Sent(), uint64(c.conn.Unacknowledged())}
+				if sent != last[c] || len(c.segments) == 0 {
+					stable = 0
+				}
+				last[c] = sent
+			}
+		})
+	}
+}
+
+// sweepAfterSilence sweeps as if no connection had been active for a number of seconds. The loop must call it.
+func (s testServer) sweepAfterSilence(seconds float64) {
+	for c := range s.connections {
+		c.lastActive = s.loop.Now() - seconds
+	}
+	s.sweep()
+}
+
+// unacknowledged returns how many bytes the clients have not acknowledged. The loop must call it.
+func (s testServer) unacknowledged() (bytes int) {
+	for c := range s.connections {
+		bytes += c.conn.Unacknowledged()
+	}
+	return bytes
+}
--- a/internal/frontend/timeouts_test.go
+++ b/internal/frontend/timeouts_test.go
@@ -132,7 +132,8 @@
 }
 
 // A client may read an answer so slowly that the kernel reports no room for longer than the timeout of unread answers.
-// Its connection must not be closed while it reads, only when it has stopped reading.
+// Its connection must not be closed while it reads, only when it has stopped reading. Each step is one callback, so that
+// the frontend's own sweep cannot run between what the client reads and the sweep that is to notice it.
 func TestSlowReaderIsNotClosed(t *testing.T) {
 	s := startServer(t, testLimits{Limits{Connections: 10}, 10, 64 << 20})
 	conn, in := s.dial()
@@ -140,35 +141,34 @@
 	fmt.Fprintf(conn, "mg k v Oa Pc=t\r\n")
 	s.succeed(<-s.started, strings.Repeat("x", 32<<20))
 	in.ReadByte()
-	time.Sleep(50 * time.Millisecond) // the kernel's buffers are full after that
-	swept := func() (left int) {
+	s.waitForFullSendBuffer()
+	for range 3 {
 		s.onLoop(func() {
-			for c := range s.connections {
-				c.lastActive -= unreadAnswerSeconds + 1
+			s.sweepAfterSilence(idleAfterSeconds + 1) // notes how much is unread
+			before := s.unacknowledged()
+			if n, err := io.CopyN(io.Discard, in, 256<<10); err != nil {
+				t.Errorf("got %d bytes of the answer and error %v, want %d", n, err, 256<<10)
+			}
+			for start := time.Now(); s.unacknowledged() == before && time.Since(start) < 5*time.Second; {
+				time.Sleep(time.Millisecond)
+			}
+			s.sweepAfterSilence(unreadAnswerSeconds + 1)
+			if s.Connections() != 1 {
+				t.Errorf("the connection is closed while its client reads: %d bytes were unread", before)
 			}
-			s.sweep()
-			left = s.Connections()
 		})
-		return left
+		if t.Failed() {
+			return
+		}
 	}
+	s.waitForFullSendBuffer()
 	s.onLoop(func() {
-		for c := range s.connections {
-			c.lastActive = s.loop.Now() - idleAfterSeconds - 1
+		s.sweepAfterSilence(idleAfterSeconds + 1)
+		s.sweepAfterSilence(unreadAnswerSeconds + 1)
+		if s.Connections() != 0 {
+			t.Error("the connection is not closed although its client does not read")
 		}
-		s.sweep()
 	})
-	for range 3 {
-		io.CopyN(io.Discard, in, 256<<10)
-		time.Sleep(50 * time.Millisecond)
-		if swept() != 1 {
-			t.Fatal("the connection is closed while its client reads")
-		}
-	}
-	time.Sleep(300 * time.Millisecond)
-	swept()
-	if swept() != 0 {
-		t.Error("the connection is not closed although its client does not read")
-	}
 }
 
 // Clients that do not read may hold all memory for values. When a request is rejected for lack of it, the slowest
@@ -183,19 +183,7 @@
 	for range 4 {
 		s.succeed(<-s.started, strings.Repeat("v", 8<<20)) // more than the kernel's buffers hold
 	}
-	// Waits until the kernel accepts no more bytes.
-	for still, last := 0, uint64(0); still < 5; time.Sleep(20 * time.Millisecond) {
-		s.onLoop(func() {
-			for c := range s.connections {
-				sent := c.conn.Sent()
-				if sent != last || len(c.segments) == 0 {
-					still = 0
-					last = sent
-				}
-			}
-			still++
-		})
-	}
+	s.waitForFullSendBuffer()
 	sweep := func() (clients int) {
 		s.onLoop(func() {
 			s.sweep()
