Log times with milliseconds

The log had whole seconds. Times are RFC 3339 as before, with three decimals.

TestLogTimeHasMilliseconds failed before ('2026-12-04T11:57:59Z').

--- a/cmd/bendtrestle/main_test.go
+++ b/cmd/bendtrestle/main_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"strconv"
 	"strings"
 	"syscall"
@@ -137,3 +138,15 @@
 		t.Errorf("the router ended with %v, want status 0", err)
 	}
 }
+
+// Transitions may follow each other several times a second, so a log line must have its time in milliseconds.
+func TestLogTimeHasMilliseconds(t *testing.T) {
+	router := exec.Command(os.Args[0])
+	router.Env = append(os.Environ(), "AS_ROUTER=1", "GW_CONFIG="+filepath.Join(t.TempDir(), "missing.json"))
+	var log strings.Builder
+	router.Stderr = &log
+	router.Run()
+	if !regexp.MustCompile(`"time":"[0-9-]+T[0-9:]+\.[0-9]{3}[Z+-]`).MatchString(log.String()) {
+		t.Errorf("got log %q, want a line with its time in milliseconds", log.String())
+	}
+}
--- a/cmd/bendtrestle/run.go
+++ b/cmd/bendtrestle/run.go
@@ -19,6 +19,8 @@
 	logQueueLines    = 1000 // if the log is read too slowly, further lines are dropped instead of blocking the event loop
 	logWarningBurst  = 20   // warnings per logWarningPeriod, so that a repeated fault does not flood the log
 	logWarningPeriod = time.Second
+	// logTimeFormat is RFC 3339 with milliseconds: transitions that follow each other in one second keep their distance.
+	logTimeFormat = "2006-01-02T15:04:05.000Z07:00"
 )
 
 type runCommand struct{}
@@ -27,6 +29,7 @@
 func (runCommand) Run(args *arguments) error {
 	signals := service.Signals()
 	out := &logWriter{}
+	zerolog.TimeFieldFormat = logTimeFormat
 	log := zerolog.New(out).With().Timestamp().Logger()
 	readSetup := func() (service.Setup, error) { return readSetup(args.Operators, out) }
 	setup, err := readSetup()
