Overload the emulated server and origin until they give way, however busy the machine

Cause, in the tests (traced earlier): they sent a fixed number of pieces with pauses, each worth half a window of the rule. A pause of 10 to 24 ms left a window below the limit, and the rule rightly starts again; then the pieces were used up.

The tests now send by the time that has passed, so that a late piece makes up for its pause, and go on until the server or the origin gives way, for 20 s at most.

--- a/internal/emulator/helpers_test.go
+++ b/internal/emulator/helpers_test.go
@@ -69,6 +69,9 @@
 	<-done
 }
 
+// now returns the time of the fleet's loop in Unix seconds.
+func (f *Fleet) now() float64 { return f.loop.Now() }
+
 // testConn is a connection to an emulated server.
 type testConn struct {
 	net.Conn
--- a/internal/emulator/server_test.go
+++ b/internal/emulator/server_test.go
@@ -215,23 +215,35 @@
 	})
 }
 
-// A cold server collapses and stays down if its load exceeds the multiple of its capacity for the stated time. The
-// collapse is recorded.
+// overloadTimeout is how many seconds a test overloads an emulated system. It may need more than the overload rule
+// states: the rule starts again when the test's process is not scheduled for a window of the rule.
+const overloadTimeout = 20
+
+// A cold server collapses and stays down if its load exceeds the multiple of its capacity for the stated time, and not
+// before. The collapse is recorded.
 func TestOverloadedColdServerCollapses(t *testing.T) {
 	s := spec("s-1")
-	s.Cores, s.Cold.Warm, s.Queue, s.PerConnection = 1, 5, 100000, 1000
+	s.Cores, s.Cold.Warm, s.Queue, s.PerConnection = 1, 60, 1000000, 1000000
 	fleet, servers := startFleet(t, s)
 	fleet.runOnLoop(servers[0].startCold)
 	conn := dialServer(t, s.Addr)
-	for i := 0; i < 150; i++ { // about 5 times the capacity of half a core, for 0.75 s
-		conn.sendLine("%s", strings.Repeat("mg key v Oa Pc=read,d=9000\r\n", 6))
-		time.Sleep(4 * time.Millisecond)
+	const commandsPerSecond = 3000 // of 2 ms: about 12 times the capacity of half a core
+	start, collapsed, sent := fleet.now(), false, 0
+	for ; !collapsed && fleet.now() < start+overloadTimeout; time.Sleep(4 * time.Millisecond) {
+		due := int((fleet.now() - start) * commandsPerSecond)
+		conn.sendLine("%s", strings.Repeat("mg key v Oa Pc=read,d=9000\r\n", due-sent))
+		sent = due
+		fleet.runOnLoop(func() { collapsed = servers[0].Collapsed() })
+	}
+	var collapses []Collapse
+	var mode Mode
+	fleet.runOnLoop(func() { collapses, mode = fleet.records.Collapses, servers[0].listedMode() })
+	if len(collapses) != 1 || mode != Gone {
+		t.Fatalf("got %d collapses within %v s, want 1 and the server listed as gone", len(collapses), overloadTimeout)
+	}
+	if overloaded := collapses[0].At - start; overloaded < s.Cold.CollapseSeconds {
+		t.Errorf("the server collapsed after %.3f s of overload, want %v s or more", overloaded, s.Cold.CollapseSeconds)
 	}
-	fleet.runOnLoop(func() {
-		if len(fleet.records.Collapses) != 1 || !servers[0].Collapsed() || servers[0].listedMode() != Gone {
-			t.Errorf("got %d collapses, want 1 and the server listed as gone", len(fleet.records.Collapses))
-		}
-	})
 	if _, err := net.DialTimeout("tcp", s.Addr, replyTimeout); err == nil {
 		t.Error("a collapsed server accepted a connection")
 	}
@@ -240,25 +252,38 @@
 // The origin stops under overload and resumes later. The record of the stop says which fraction of the calls came from
 // cold servers.
 func TestOverloadedOriginHalts(t *testing.T) {
-	fleet, servers := startFleet(t, spec("s-1"))
+	s := spec("s-1")
+	s.Cold.Warm = 60
+	fleet, servers := startFleet(t, s)
 	fleet.runOnLoop(servers[0].startCold)
-	for range 30 {
+	origin := fleet.origin
+	start, halted := fleet.now(), false
+	for ; !halted && fleet.now() < start+overloadTimeout; time.Sleep(10 * time.Millisecond) {
 		fleet.runOnLoop(func() {
 			for range 40 {
-				fleet.origin.fetch(servers[0], func() {})
+				origin.fetch(servers[0], func() {})
+			}
+			halted = len(fleet.records.Halts) > 0
+			if halted && origin.processor.rate != 0 {
+				t.Error("the origin works on although it has halted")
 			}
 		})
-		time.Sleep(10 * time.Millisecond)
 	}
-	fleet.runOnLoop(func() {
-		if len(fleet.records.Halts) != 1 || fleet.records.Halts[0].ColdFraction != 1 || fleet.origin.processor.rate != 0 {
-			t.Errorf("halts: got %+v, want one with all calls from cold servers, and a stopped origin", fleet.records.Halts)
-		}
-	})
-	time.Sleep(400 * time.Millisecond)
-	fleet.runOnLoop(func() {
-		if fleet.origin.processor.rate != 1 {
-			t.Error("the origin did not resume")
+	var halts []Halt
+	fleet.runOnLoop(func() { halts = fleet.records.Halts })
+	if len(halts) != 1 || halts[0].ColdFraction != 1 {
+		t.Fatalf("halts: got %+v within %v s, want one with all calls from cold servers", halts, overloadTimeout)
+	}
+	if overloaded := halts[0].At - start; overloaded < origin.spec.OverloadSeconds {
+		t.Errorf("the origin halted after %.3f s of overload, want %v s or more", overloaded, origin.spec.OverloadSeconds)
+	}
+	for rate := 0.0; rate != 1; time.Sleep(time.Millisecond) {
+		fleet.runOnLoop(func() { rate = origin.processor.rate })
+		if fleet.now() > halts[0].At+overloadTimeout {
+			t.Fatalf("the origin did not resume within %v s", overloadTimeout)
 		}
-	})
+	}
+	if stopped := fleet.now() - halts[0].At; stopped < origin.spec.HaltSeconds {
+		t.Errorf("the origin resumed after %.3f s, want %v s or more", stopped, origin.spec.HaltSeconds)
+	}
 }
