Give tests addresses that nothing else can take

Tests took a port from the kernel, let go of it, and had the program under test listen there. Between the two any connection's source port or another test could take it: 'address already in use', in one run in five beside much load (TestLaggingListServiceDoesNotRevertDrain, among others; eight copies of the same lines).

internal/testaddress gives each call a loopback address of its own: a host of the process and a port outside the range of source ports. It replaces the eight copies.

--- a/cmd/bendtrestle/main_test.go
+++ b/cmd/bendtrestle/main_test.go
@@ -16,6 +16,8 @@
 	"testing"
 	"time"
 
+	"bendtrestle/internal/testaddress"
+
 	"github.com/pelletier/go-toml/v2"
 )
 
@@ -82,9 +84,7 @@
 	}))
 	defer list.Close()
 	defer list.CloseClientConnections()
-	free, _ := net.Listen("tcp", "127.0.0.1:0")
-	addr := free.Addr().String()
-	free.Close()
+	addr := testaddress.New()
 	// The configuration file is a pipe: the start blocks on it, and SIGHUP arrives in the meantime.
 	path := filepath.Join(t.TempDir(), "config.json")
 	if err := syscall.Mkfifo(path, 0o600); err != nil {
--- a/internal/emulator/clients_test.go
+++ b/internal/emulator/clients_test.go
@@ -9,12 +9,13 @@
 	"time"
 
 	"bendtrestle/internal/eventloop"
+	"bendtrestle/internal/testaddress"
 )
 
 // startRouter starts a fake router that answers the n-th command with the text that reply returns. It answers nothing
 // if that is empty, and closes the connection if it is "close".
 func startRouter(t *testing.T, reply func(n int, line, id string) string) string {
-	ln, err := net.Listen("tcp", strings.Replace(testAddress(), "11300", "11211", 1))
+	ln, err := net.Listen("tcp", testaddress.New())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/emulator/helpers_test.go
+++ b/internal/emulator/helpers_test.go
@@ -6,14 +6,13 @@
 	"fmt"
 	"net"
 	"net/http"
-	"os"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"bendtrestle/balancer"
 	"bendtrestle/internal/eventloop"
+	"bendtrestle/internal/testaddress"
 )
 
 var readType = &TrafficType{Name: "read", Share: 1, Idempotency: balancer.Idempotent, Work: 0.002, Size: 100,
@@ -22,15 +21,8 @@
 	DeduplicationScope: balancer.ScopeZone, Window: 0.3, Work: 0.002, Size: 10,
 	LatencyObjective: 0.2, Deadline: 0.5, Benefit: 1}
 
-var lastTestAddress atomic.Int32
-
-// testAddress returns a loopback address that no other test uses.
-func testAddress() string {
-	return fmt.Sprintf("127.%d.%d.%d:11300", 220+os.Getpid()%30, 1+os.Getpid()%200, lastTestAddress.Add(1))
-}
-
 func spec(name string) Spec {
-	return Spec{Name: name, Addr: testAddress(), Zone: "z", Cores: 1, Speed: 1, Weight: 1, Queue: 100, PerConnection: 10,
+	return Spec{Name: name, Addr: testaddress.New(), Zone: "z", Cores: 1, Speed: 1, Weight: 1, Queue: 100, PerConnection: 10,
 		Connections: 20, CacheSize: 100,
 		Cancels: true, Cold: Cold{From: 0.5, Warm: 1, Multiple: 3, CollapseSeconds: 0.5}}
 }
--- a/internal/emulator/list_test.go
+++ b/internal/emulator/list_test.go
@@ -3,14 +3,15 @@
 import (
 	"fmt"
 	"net"
-	"strings"
 	"testing"
 	"time"
+
+	"bendtrestle/internal/testaddress"
 )
 
 // startAgent starts an agent of a running fleet at its own address.
 func startAgent(t *testing.T, fleet *Fleet) *Agent {
-	agent, err := fleet.list.Agent(strings.Replace(testAddress(), "11300", "8500", 1))
+	agent, err := fleet.list.Agent(testaddress.New())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -96,7 +97,7 @@
 	}
 	generation(3)
 	before := agent.Addr()
-	if err := agent.Move(strings.Replace(before, "8500", "8501", 1)); err != nil {
+	if err := agent.Move(testaddress.New()); err != nil {
 		t.Fatal(err)
 	}
 	generation(3)
--- a/internal/emulator/longvalue_test.go
+++ b/internal/emulator/longvalue_test.go
@@ -11,6 +11,7 @@
 
 	"bendtrestle/balancer"
 	"bendtrestle/internal/meta"
+	"bendtrestle/internal/testaddress"
 )
 
 const mebibyte = 1 << 20
@@ -213,7 +214,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			ln, err := net.Listen("tcp", strings.Replace(testAddress(), "11300", "11211", 1))
+			ln, err := net.Listen("tcp", testaddress.New())
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/internal/eventloop/dial_test.go
+++ b/internal/eventloop/dial_test.go
@@ -1,9 +1,10 @@
 package eventloop
 
 import (
-	"net"
 	"net/netip"
 	"testing"
+
+	"bendtrestle/internal/testaddress"
 )
 
 // Opened is called for a dialled connection; then it can be written to, and Input is called for the response.
@@ -32,9 +33,7 @@
 // A refused connection is reported by Closed or by Dial's error, and Dial does not wait for it.
 func TestRefusedDialIsReported(t *testing.T) {
 	l := startLoop(t)
-	free, _ := net.Listen("tcp", "127.0.0.1:0")
-	addr := netip.MustParseAddrPort(free.Addr().String())
-	free.Close()
+	addr := netip.MustParseAddrPort(testaddress.New())
 	events := make(chan string, 10)
 	l.Post(func() {
 		if _, err := l.Dial(addr, &recordingHandler{events: events}); err != nil {
--- a/internal/eventloop/helpers_test.go
+++ b/internal/eventloop/helpers_test.go
@@ -4,6 +4,8 @@
 	"net"
 	"testing"
 	"time"
+
+	"bendtrestle/internal/testaddress"
 )
 
 // recordingHandler sends the names of its connection's events to a channel, and calls input for Input.
@@ -44,12 +46,7 @@
 
 // serve listens at a free address; each connection is handled by a recordingHandler on events with that input.
 func serve(t *testing.T, l *Loop, input func(*Conn)) (addr string, events chan string) {
-	free, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	addr = free.Addr().String()
-	free.Close()
+	addr = testaddress.New()
 	events = make(chan string, 100)
 	done := make(chan error)
 	l.Post(func() {
--- a/internal/experiment/scale/simrouter/router_test.go
+++ b/internal/experiment/scale/simrouter/router_test.go
@@ -4,13 +4,13 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"reflect"
 	"strings"
 	"testing"
 	"time"
 
 	"bendtrestle/internal/operatorconfig"
+	"bendtrestle/internal/testaddress"
 
 	"github.com/rs/zerolog"
 )
@@ -19,18 +19,12 @@
 	{"instanceId": "s-000", "hostPort": "127.0.0.1:11300", "lifecycle": "ready", "weight": 1},
 	{"instanceId": "s-001", "hostPort": "127.0.0.2:11300", "lifecycle": "ready", "weight": 1}]}`
 
-// freeAddresses returns n UDP addresses on which nothing listens.
-func freeAddresses(t *testing.T, n int) (all []string) {
-	t.Helper()
+// freeAddresses returns n loopback addresses at which nothing listens.
+func freeAddresses(n int) (addresses []string) {
 	for range n {
-		c, err := net.ListenPacket("udp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer c.Close()
-		all = append(all, c.LocalAddr().String())
+		addresses = append(addresses, testaddress.New())
 	}
-	return all
+	return addresses
 }
 
 // testProcess runs Serve in this process.
@@ -79,7 +73,7 @@
 // goes on until it is stopped.
 func TestBroadcastCountsMessagesAndBytes(t *testing.T) {
 	const n = 5
-	s := startTestProcess(t, Spec{Transport: "all", Peers: freeAddresses(t, n), Count: n, InitialList: []byte(servers)})
+	s := startTestProcess(t, Spec{Transport: "all", Peers: freeAddresses(n), Count: n, InitialList: []byte(servers)})
 	if a := s.answer(); a.Error != "" || a.Traffic != (Traffic{}) {
 		t.Fatalf("answer to the spec: %+v, want no error and no traffic", a)
 	}
@@ -116,7 +110,7 @@
 // up to the total, and no more is received than was sent.
 func TestGossipReachesEveryBalancer(t *testing.T) {
 	const n = 5
-	s := startTestProcess(t, Spec{Transport: "gossip", Peers: freeAddresses(t, n), Count: n,
+	s := startTestProcess(t, Spec{Transport: "gossip", Peers: freeAddresses(n), Count: n,
 		InitialList: []byte(servers)})
 	if a := s.answer(); a.Error != "" || a.RouterBytes != nil {
 		t.Fatalf("answer to the spec: %+v, want no error and no bytes of single routers", a)
@@ -185,7 +179,7 @@
 
 // An invalid spec is answered with an error that names the fault and the accepted values, and Serve returns.
 func TestInvalidSpecIsRejected(t *testing.T) {
-	at := freeAddresses(t, 2)
+	at := freeAddresses(2)
 	for _, c := range []struct {
 		spec Spec
 		want string
--- a/internal/frontend/helpers_test.go
+++ b/internal/frontend/helpers_test.go
@@ -10,6 +10,7 @@
 	"bendtrestle/balancer"
 	"bendtrestle/internal/eventloop"
 	"bendtrestle/internal/requestcore"
+	"bendtrestle/internal/testaddress"
 
 	"github.com/rs/zerolog"
 	"golang.org/x/sys/unix"
@@ -98,14 +99,12 @@
 	}
 	go loop.Run()
 	t.Cleanup(func() { loop.Post(loop.Stop) })
-	free, _ := net.Listen("tcp", "127.0.0.1:0")
 	s := testServer{
 		heldUpstream: heldUpstream{make(chan *heldAttempt, 1000)},
 		dispatcher:   &testDispatcher{testLimits: limits},
 		t:            t,
-		addr:         free.Addr().String(),
+		addr:         testaddress.New(),
 	}
-	free.Close()
 	done := make(chan error)
 	loop.Post(func() {
 		s.dispatcher.core = newTestCore(loop, s.heldUpstream)
--- a/internal/frontend/tileserver/golden_test.go
+++ b/internal/frontend/tileserver/golden_test.go
@@ -16,6 +16,7 @@
 	"bendtrestle/internal/frontend"
 	"bendtrestle/internal/http1"
 	"bendtrestle/internal/requestcore"
+	"bendtrestle/internal/testaddress"
 	"bendtrestle/internal/tiles"
 )
 
@@ -115,9 +116,7 @@
 	onLoop(func() {
 		front = frontend.New(loop, echoDispatcher{}, frontend.Limits{Connections: 100})
 		for listener := range addresses {
-			free, _ := net.Listen("tcp", "127.0.0.1:0")
-			addresses[listener] = free.Addr().String()
-			free.Close()
+			addresses[listener] = testaddress.New()
 			accept := front.Acceptor(listener, server.Protocol)
 			if _, err := loop.Listen(addresses[listener], front.CanAccept, accept); err != nil {
 				t.Error(err)
--- a/internal/peertransport/transport_test.go
+++ b/internal/peertransport/transport_test.go
@@ -2,25 +2,21 @@
 
 import (
 	"fmt"
-	"net"
 	"net/netip"
 	"slices"
 	"strings"
 	"testing"
 	"time"
 
+	"bendtrestle/internal/testaddress"
+
 	"github.com/rs/zerolog"
 )
 
 // freeAddresses returns n loopback addresses at which nothing listens.
-func freeAddresses(t *testing.T, n int) (addresses []string) {
+func freeAddresses(n int) (addresses []string) {
 	for range n {
-		conn, err := net.ListenPacket("udp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer conn.Close()
-		addresses = append(addresses, conn.LocalAddr().String())
+		addresses = append(addresses, testaddress.New())
 	}
 	return addresses
 }
@@ -41,7 +37,7 @@
 // A broadcast reaches the other routers and not its sender. Datagrams that are too long, or whose sender is not in the
 // list, are not handled.
 func TestBroadcast(t *testing.T) {
-	addresses := freeAddresses(t, 3)
+	addresses := freeAddresses(3)
 	routers := addresses[:2]
 	received := make(chan string, 10)
 	var transports []*Transport
@@ -71,7 +67,7 @@
 // A datagram to one router reaches only that router. Datagrams to an index that is not in the list, and too long ones,
 // are not sent.
 func TestSend(t *testing.T) {
-	routers := freeAddresses(t, 3)
+	routers := freeAddresses(3)
 	received := make(chan string, 10)
 	var transports []*Transport
 	for i, listen := range routers {
@@ -96,7 +92,7 @@
 
 // Without a list of routers the datagrams of all senders are handled, with UnknownSender as their index.
 func TestAllSendersAreHandledWithoutList(t *testing.T) {
-	addresses := freeAddresses(t, 2)
+	addresses := freeAddresses(2)
 	received := make(chan int, 1)
 	open(t, addresses[0], "", nil, 0, func(_ netip.AddrPort, sender int, _ []byte) { received <- sender })
 	sending := open(t, addresses[1], addresses[0], nil, 0, ignore)
@@ -118,7 +114,7 @@
 
 // During a hot restart the predecessor and the successor process listen at the same address.
 func TestAddressIsSharedWithSuccessor(t *testing.T) {
-	address := freeAddresses(t, 1)[0]
+	address := freeAddresses(1)[0]
 	for range 2 {
 		if _, err := Open(address, "", nil, 0, ignore, zerolog.Nop()); err != nil {
 			t.Error(err)
--- a/internal/service/contracts_test.go
+++ b/internal/service/contracts_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"bendtrestle/internal/requestcore"
+	"bendtrestle/internal/testaddress"
 
 	"github.com/rs/zerolog"
 )
@@ -40,7 +41,7 @@
 	stock := startCacheServer(t, 300*time.Millisecond)
 	s, addr, _ := startServing(t, platform)
 	defer s.loop.Post(s.end)
-	teamAddr := freeAddress(t)
+	teamAddr := testaddress.New()
 	reconfigure := func(text string) {
 		operators := parseOperators(t, text)
 		runOnLoop(s, func() { s.reconfigure(Setup{Platform: s.conf, Operators: operators}) })
@@ -94,8 +95,8 @@
 // serves as usual.
 func TestPoolWithoutServersRejectsOnlyItsOwnRequests(t *testing.T) {
 	platform := startCacheServer(t, 0)
-	addr := freeAddress(t)
-	teamAddr := freeAddress(t)
+	addr := testaddress.New()
+	teamAddr := testaddress.New()
 	operators := parseOperators(t, fmt.Sprintf(contractFile, "127.0.0.1:1", "", teamAddr, 2.0))
 	conf := parseConfig(t, baseConfig, addr, platform, "")
 	s := assembleSetup(t, Setup{Platform: conf, Operators: operators}, zerolog.Nop())
--- a/internal/service/disabledservers_test.go
+++ b/internal/service/disabledservers_test.go
@@ -14,6 +14,7 @@
 	"bendtrestle/internal/discovery"
 	"bendtrestle/internal/hotrestart"
 	"bendtrestle/internal/operatorconfig"
+	"bendtrestle/internal/testaddress"
 
 	"github.com/rs/zerolog"
 	"golang.org/x/sys/unix"
@@ -94,7 +95,7 @@
 // holds for zones.
 func TestOperatorCallsWhileAnotherProcessHoldsTheLock(t *testing.T) {
 	dir := t.TempDir()
-	addr := freeAddress(t)
+	addr := testaddress.New()
 	s, _ := startProcess(t, addr, startCacheServer(t, 0), dir)
 	waitServing(t, s)
 	runOnLoop(s, func() {
--- a/internal/service/endpointwatch_test.go
+++ b/internal/service/endpointwatch_test.go
@@ -13,6 +13,7 @@
 	"bendtrestle/balancer"
 	"bendtrestle/internal/discovery"
 	"bendtrestle/internal/policy/membership"
+	"bendtrestle/internal/testaddress"
 
 	"github.com/rs/zerolog"
 )
@@ -75,7 +76,7 @@
 // reverted by the first list of the new service, which lags behind.
 func TestLaggingListServiceDoesNotRevertDrain(t *testing.T) {
 	t.Parallel()
-	s, _ := startProcess(t, freeAddress(t), startCacheServer(t, 0), "")
+	s, _ := startProcess(t, testaddress.New(), startCacheServer(t, 0), "")
 	waitServing(t, s)
 	p := s.pools.platform
 	avoided := func() bool { return p.core.Avoids(discovery.ID("s-1")) }
--- a/internal/service/golden_process_test.go
+++ b/internal/service/golden_process_test.go
@@ -14,6 +14,7 @@
 	"bendtrestle/internal/discovery"
 	"bendtrestle/internal/operatorconfig"
 	"bendtrestle/internal/requestcore"
+	"bendtrestle/internal/testaddress"
 
 	"github.com/rs/zerolog"
 )
@@ -54,9 +55,9 @@
 func TestGoldenMetrics(t *testing.T) {
 	for name, text := range map[string]string{
 		"figures-plain": "",
-		"figures-all":   fmt.Sprintf(goldenOperators, freeAddress(t)),
+		"figures-all":   fmt.Sprintf(goldenOperators, testaddress.New()),
 	} {
-		setup := Setup{Platform: peerConfig(t, 0, 100, freeUDPAddress(t)), Operators: parseOperators(t, text)}
+		setup := Setup{Platform: peerConfig(t, 0, 100, testaddress.New()), Operators: parseOperators(t, text)}
 		s := assembleSetup(t, setup, zerolog.Nop())
 		golden(t, name, s.metrics())
 		s.runLoop(t)
@@ -66,7 +67,7 @@
 // The JSON that the admin server answers to GET /status and GET /zones must not change. Durations differ between runs
 // and are set to 0.
 func TestGoldenStatusAndZones(t *testing.T) {
-	s, _ := startProcess(t, freeAddress(t), startCacheServer(t, 0), t.TempDir())
+	s, _ := startProcess(t, testaddress.New(), startCacheServer(t, 0), t.TempDir())
 	waitServing(t, s)
 	runOnLoop(s, func() {
 		s.openZones(operatorconfig.File{Zones: operatorconfig.Zones{On: true}})
@@ -106,7 +107,7 @@
 
 // The state that a running process sends to its successor must not change, as the successor may be of another build.
 func TestGoldenLiveHotRestartState(t *testing.T) {
-	conf := parseConfig(t, baseConfig, freeAddress(t), "127.0.0.1:1", "")
+	conf := parseConfig(t, baseConfig, testaddress.New(), "127.0.0.1:1", "")
 	s := assembleSetup(t, Setup{Platform: conf}, zerolog.Nop())
 	s.runLoop(t)
 	runOnLoop(s, func() {
@@ -157,7 +158,7 @@
 func TestGoldenLogLines(t *testing.T) {
 	log := &logBuffer{}
 	dir := t.TempDir()
-	addr := freeAddress(t)
+	addr := testaddress.New()
 	list := startCacheServer(t, 0)
 	switchedOn := operatorconfig.File{
 		Recovery: operatorconfig.Recovery{On: true},
@@ -204,7 +205,7 @@
 		first.reconfigure(Setup{Platform: unchanged})
 	})
 	<-firstEnded
-	third, _ := start(freeAddress(t), "")
+	third, _ := start(testaddress.New(), "")
 	waitServing(t, third)
 
 	var lines strings.Builder
--- a/internal/service/gossip_test.go
+++ b/internal/service/gossip_test.go
@@ -16,6 +16,7 @@
 	"bendtrestle/internal/operatorconfig"
 	"bendtrestle/internal/peertransport"
 	"bendtrestle/internal/policy/gossip"
+	"bendtrestle/internal/testaddress"
 
 	"github.com/rs/zerolog"
 )
@@ -27,7 +28,7 @@
 // of them have the given addresses.
 func peerConfig(t *testing.T, index, routers int, first ...string) config.Config {
 	t.Helper()
-	conf := parseConfig(t, baseConfig, freeAddress(t), "127.0.0.1:1", t.TempDir())
+	conf := parseConfig(t, baseConfig, testaddress.New(), "127.0.0.1:1", t.TempDir())
 	conf.Settings.GossipAllowed = true
 	conf.Settings.RouterIndex = index
 	conf.Settings.RouterCount = routers
@@ -105,7 +106,7 @@
 func TestGossipReachesAnotherRouterOverUDP(t *testing.T) {
 	var addresses []string
 	for range 100 {
-		addresses = append(addresses, freeUDPAddress(t))
+		addresses = append(addresses, testaddress.New())
 	}
 	operators := operatorconfig.File{Gossip: operatorconfig.Gossip{On: true, BytesPerSecond: bytesPerSecond}}
 	var services []*Service
@@ -159,7 +160,7 @@
 			t.Fatal(err)
 		}
 		defer peer.Close()
-		conf := peerConfig(t, 0, fleet.routers, freeUDPAddress(t), peer.LocalAddr().String())
+		conf := peerConfig(t, 0, fleet.routers, testaddress.New(), peer.LocalAddr().String())
 		operators := operatorconfig.File{Gossip: fleet.gossip}
 		s := assembleSetup(t, Setup{Platform: conf, Operators: operators}, zerolog.Nop())
 		s.runLoop(t)
@@ -177,7 +178,7 @@
 // turns it on.
 func TestGossipStaysOffWhereNotAllowed(t *testing.T) {
 	log := &logBuffer{}
-	conf := peerConfig(t, 0, 100, freeUDPAddress(t))
+	conf := peerConfig(t, 0, 100, testaddress.New())
 	conf.Settings.GossipAllowed = false
 	operators := operatorconfig.File{Gossip: operatorconfig.Gossip{On: true, BytesPerSecond: bytesPerSecond}}
 	s := assembleSetup(t, Setup{Platform: conf, Operators: operators}, zerolog.New(log))
--- a/internal/service/helpers_test.go
+++ b/internal/service/helpers_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -16,6 +15,7 @@
 	"bendtrestle/internal/discovery"
 	"bendtrestle/internal/operatorconfig"
 	"bendtrestle/internal/requestcore"
+	"bendtrestle/internal/testaddress"
 
 	"github.com/rs/zerolog"
 )
@@ -54,12 +54,7 @@
 // assembleConfig returns a service that does not run yet, at a free address. text is a format with that address and the
 // list service's.
 func assembleConfig(text, discovery string, log zerolog.Logger) (s *Service, addr string, err error) {
-	free, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, "", err
-	}
-	addr = free.Addr().String()
-	free.Close()
+	addr = testaddress.New()
 	conf, err := config.Parse(fmt.Appendf(nil, text, addr, discovery), environment(""))
 	if err == nil {
 		s, err = assemble(Setup{Platform: conf}, requestcore.DefaultBalancer, log)
@@ -112,7 +107,7 @@
 
 // startWithAdmin starts a process with an admin handler, but no admin server.
 func startWithAdmin(t *testing.T, list string) (handler *adminHandler, addr string, ended chan error) {
-	addr = freeAddress(t)
+	addr = testaddress.New()
 	s, ended := startProcess(t, addr, list, "")
 	return addAdminHandler(s), addr, ended
 }
@@ -192,26 +187,6 @@
 	waitUntil(t, "serving", s, func() bool { return s.lifecycle.phase == Serving })
 }
 
-// freeAddress returns a TCP address at which nothing listens.
-func freeAddress(t *testing.T) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	return listener.Addr().String()
-}
-
-// freeUDPAddress returns a UDP address at which nothing listens.
-func freeUDPAddress(t *testing.T) string {
-	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer conn.Close()
-	return conn.LocalAddr().String()
-}
-
 // logBuffer is a log that may be read while other goroutines write to it.
 type logBuffer struct {
 	mu  sync.Mutex
--- a/internal/service/hotrestart_test.go
+++ b/internal/service/hotrestart_test.go
@@ -14,6 +14,7 @@
 
 	"bendtrestle/balancer"
 	"bendtrestle/internal/discovery"
+	"bendtrestle/internal/testaddress"
 )
 
 // waitSuccessorServes waits until a successor serves instead of a process.
@@ -51,7 +52,7 @@
 		}
 		fmt.Fprintf(conn, "VA 2 O%s h1\r\nhi\r\n", id)
 	})
-	addr := freeAddress(t)
+	addr := testaddress.New()
 	shared := t.TempDir()
 	predecessor, _ := startProcess(t, addr, list, shared)
 	waitServing(t, predecessor)
@@ -83,7 +84,7 @@
 		<-release
 		fmt.Fprintf(conn, "VA 2 O%s h1\r\nhi\r\n", id)
 	})
-	addr := freeAddress(t)
+	addr := testaddress.New()
 	shared := t.TempDir()
 	predecessor, _ := startProcess(t, addr, list, shared)
 	waitServing(t, predecessor)
@@ -104,7 +105,7 @@
 // The successor dies after it has received the sockets and before it is ready. The predecessor must serve throughout,
 // and have all of the limits again.
 func TestSuccessorDiesWhileStarting(t *testing.T) {
-	addr := freeAddress(t)
+	addr := testaddress.New()
 	shared := t.TempDir()
 	predecessor, _ := startProcess(t, addr, startCacheServer(t, 0), shared)
 	waitServing(t, predecessor)
@@ -128,7 +129,7 @@
 func TestHotRestartsUnderLoad(t *testing.T) {
 	list := startCacheServer(t, time.Millisecond)
 	shared := t.TempDir()
-	addr := freeAddress(t)
+	addr := testaddress.New()
 	hasHalfOfTheLimits := func(s *Service) bool { return s.processLimits().ClientConnections < s.conf.ClientConnections }
 	hasAllLimits := func(s *Service) bool { return s.processLimits().ClientConnections == s.conf.ClientConnections }
 	s, ended := startProcess(t, addr, list, shared)
@@ -177,7 +178,7 @@
 	} {
 		list := startCacheServer(t, 0)
 		shared := ""
-		addr := freeAddress(t)
+		addr := testaddress.New()
 		if restart.folder {
 			shared = t.TempDir()
 		}
@@ -211,7 +212,7 @@
 func TestSuccessorReceivesEndpointList(t *testing.T) {
 	list := startCacheServer(t, 0)
 	shared := t.TempDir()
-	addr := freeAddress(t)
+	addr := testaddress.New()
 	predecessor, _ := startProcess(t, addr, list, shared)
 	waitServing(t, predecessor)
 	id := discovery.ID("s-1")
@@ -264,7 +265,7 @@
 func startProgram(t *testing.T, dir string, command ...string) (process *exec.Cmd, ops string) {
 	t.Helper()
 	process = exec.Command(command[0], command[1:]...)
-	ops = freeAddress(t)
+	ops = testaddress.New()
 	process.Env = append(os.Environ(), "GW_CONFIG="+filepath.Join(dir, "config.json"), "TMPDIR="+dir, "GW_OPS="+ops)
 	// The process is killed with the tests, even if they end without their cleanup.
 	process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
@@ -279,7 +280,7 @@
 // status 0. A server that is disabled at one process is disabled at the next one, where it is enabled again.
 func TestHotRestartOfRealProcesses(t *testing.T) {
 	dir := t.TempDir()
-	addr := freeAddress(t)
+	addr := testaddress.New()
 	program := buildRouter(t, dir)
 	text := fmt.Appendf(nil, baseConfig, addr, startCacheServer(t, time.Millisecond))
 	os.WriteFile(filepath.Join(dir, "config.json"), text, 0o600)
--- a/internal/service/laggingagent_test.go
+++ b/internal/service/laggingagent_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"bendtrestle/internal/discovery"
+	"bendtrestle/internal/testaddress"
 
 	"github.com/rs/zerolog"
 )
@@ -118,7 +119,7 @@
 				t.Parallel()
 				first := startAgent(t, 41, "ready")
 				older := startAgent(t, 41, "ready")
-				s, _ := startProcess(t, freeAddress(t), first.address(), shortTempDir(t))
+				s, _ := startProcess(t, testaddress.New(), first.address(), shortTempDir(t))
 				waitServing(t, s)
 				toldAt := tellWithdrawal(t, s, first, state)
 				s = follow(t, s, older)
@@ -135,7 +136,7 @@
 func TestOlderListDoesNotUndoDrainOfInitialList(t *testing.T) {
 	t.Parallel()
 	older := startAgent(t, 41, "ready")
-	conf := parseConfig(t, configWithKnownList, freeAddress(t), older.address(), "")
+	conf := parseConfig(t, configWithKnownList, testaddress.New(), older.address(), "")
 	s := assembleSetup(t, Setup{Platform: conf}, zerolog.Nop())
 	startedAt := time.Now()
 	s.runLoop(t)
@@ -151,7 +152,7 @@
 		t.Run(state, func(t *testing.T) {
 			t.Parallel()
 			only := startAgent(t, 41, "ready")
-			s, _ := startProcess(t, freeAddress(t), only.address(), t.TempDir())
+			s, _ := startProcess(t, testaddress.New(), only.address(), t.TempDir())
 			waitServing(t, s)
 			toldAt := tellWithdrawal(t, s, only, state)
 			only.set(41, "ready")
@@ -234,7 +235,7 @@
 // list.
 func TestFallbackLongAfterAWithdrawal(t *testing.T) {
 	t.Parallel()
-	s, _ := startProcess(t, freeAddress(t), startCacheServer(t, 0), "")
+	s, _ := startProcess(t, testaddress.New(), startCacheServer(t, 0), "")
 	waitServing(t, s)
 	runOnLoop(s, func() {
 		p := s.pools.platform
--- a/internal/service/lifecycle_test.go
+++ b/internal/service/lifecycle_test.go
@@ -16,6 +16,7 @@
 
 	"bendtrestle/balancer"
 	"bendtrestle/internal/requestcore"
+	"bendtrestle/internal/testaddress"
 
 	"github.com/rs/zerolog"
 )
@@ -168,7 +169,7 @@
 // would wait longer.
 func TestRequestsDuringShutdownEndByItsDeadline(t *testing.T) {
 	left := make(chan float64, 10)
-	addr := freeAddress(t)
+	addr := testaddress.New()
 	conf := parseConfig(t, withoutDeadline, addr, startCacheServer(t, 0), "")
 	newBalancer := func(now float64, settings balancer.Settings, host balancer.Host) requestcore.Balancer {
 		return timeLeftRecorder{requestcore.DefaultBalancer(now, settings, host), left}
@@ -199,7 +200,7 @@
 func TestProcessServesAfterPanicInCallback(t *testing.T) {
 	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(0))
 	defer debug.SetMemoryLimit(debug.SetMemoryLimit(-1))
-	addr := freeAddress(t)
+	addr := testaddress.New()
 	log := &panickingLog{}
 	conf := parseConfig(t, baseConfig, addr, startCacheServer(t, 0), "")
 	signals := make(chan os.Signal, 1)
--- a/internal/service/limits_test.go
+++ b/internal/service/limits_test.go
@@ -15,6 +15,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"bendtrestle/internal/testaddress"
 )
 
 // startListProxy listens at an address and forwards polls to a list service.
@@ -49,8 +51,8 @@
 func TestReservedDescriptorsStayFreeUnderConnectionFlood(t *testing.T) {
 	const sockets = 64
 	dir := t.TempDir()
-	addr := freeAddress(t)
-	list := freeAddress(t)
+	addr := testaddress.New()
+	list := testaddress.New()
 	program := buildRouter(t, dir)
 	limits := fmt.Sprintf(`{"limits":{"sockets":%d},`, sockets)
 	text := strings.Replace(fmt.Sprintf(baseConfig, addr, list), "{", limits, 1)
--- a/internal/service/peers_test.go
+++ b/internal/service/peers_test.go
@@ -9,6 +9,7 @@
 	"bendtrestle/balancer"
 	"bendtrestle/internal/config"
 	"bendtrestle/internal/requestcore"
+	"bendtrestle/internal/testaddress"
 
 	"github.com/rs/zerolog"
 )
@@ -27,7 +28,7 @@
 // Messages arrive from more routers than the settings have. The balancer is given each larger fleet size once; as long
 // as there are fewer senders, it keeps the size of the settings.
 func TestFleetSizeCountsSendersOfMessages(t *testing.T) {
-	at := freeUDPAddress(t)
+	at := testaddress.New()
 	text := `{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","peer_listen":"%s",
 		"settings":{"me":0,"fleetSize":3,"limits":{"peers":true,"mostExecutions":3},
 		"trafficTypes":[{"name":"t","effect":"retryable","promisedTime":1000000000,"hardStop":2000000000,"benefit":1}]}}`
--- a/internal/service/reload_test.go
+++ b/internal/service/reload_test.go
@@ -11,6 +11,7 @@
 
 	"bendtrestle/internal/config"
 	"bendtrestle/internal/operatorconfig"
+	"bendtrestle/internal/testaddress"
 )
 
 // A reload of an invalid file changes nothing, and a reload of one that names another list service moves the watch
@@ -80,7 +81,7 @@
 // A reload after SIGTERM, or in the same round of the loop, changes the list service and opens no listeners.
 func TestReloadAfterSIGTERMChangesOnlyTheListService(t *testing.T) {
 	s, _, _ := startServing(t, startCacheServer(t, 0))
-	team := operatorconfig.Team{Name: "late", Listen: freeAddress(t), Budget: 1}
+	team := operatorconfig.Team{Name: "late", Listen: testaddress.New(), Budget: 1}
 	setup := Setup{Platform: s.conf, Operators: operatorconfig.File{Teams: []operatorconfig.Team{team}}}
 	setup.Platform.Discovery = "127.0.0.1:1"
 	runOnLoop(s, func() {
--- a/internal/service/shutdown_test.go
+++ b/internal/service/shutdown_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"bendtrestle/balancer"
+	"bendtrestle/internal/testaddress"
 
 	"github.com/rs/zerolog"
 )
@@ -188,7 +189,7 @@
 		}
 		s.runLoop(t)
 		if c.team {
-			operators := parseOperators(t, fmt.Sprintf(contractFile, "127.0.0.1:1", "", freeAddress(t), 2.0))
+			operators := parseOperators(t, fmt.Sprintf(contractFile, "127.0.0.1:1", "", testaddress.New(), 2.0))
 			runOnLoop(s, func() { s.reconfigure(Setup{Platform: s.conf, Operators: operators}) })
 		}
 		runOnLoop(s, s.beginShutdown)
--- a/internal/service/startup_test.go
+++ b/internal/service/startup_test.go
@@ -20,6 +20,7 @@
 	"bendtrestle/internal/policy/startup"
 	"bendtrestle/internal/requestcore"
 	"bendtrestle/internal/snapshot"
+	"bendtrestle/internal/testaddress"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rs/zerolog"
@@ -42,7 +43,7 @@
 		{"in the future", -60, "127.0.0.1:1", 0, 0},
 	} {
 		dir := t.TempDir()
-		addr := freeAddress(t)
+		addr := testaddress.New()
 		now := float64(time.Now().UnixNano()) / 1e9
 		writeSnapshot(dir, addr, last.from, now-last.age)
 		var rates []float64
@@ -145,7 +146,7 @@
 		t.Run(discoveryMode, func(t *testing.T) {
 			t.Parallel()
 			dir := t.TempDir()
-			addr := freeAddress(t)
+			addr := testaddress.New()
 			socket := &net.UnixAddr{Name: hotrestart.Path(dir, addr, "sock"), Net: "unix"}
 			predecessor, err := net.ListenUnix("unix", socket) // it accepts no connection
 			if err != nil {
--- a/internal/service/tilepool_test.go
+++ b/internal/service/tilepool_test.go
@@ -11,6 +11,8 @@
 	"testing"
 	"time"
 
+	"bendtrestle/internal/testaddress"
+
 	"github.com/rs/zerolog"
 )
 
@@ -132,7 +134,7 @@
 	})
 	s, _, _ := startServing(t, startCacheServer(t, 0))
 	defer s.loop.Post(s.end)
-	addr := freeAddress(t)
+	addr := testaddress.New()
 	addTilePool(t, s, addr, fmt.Sprintf(tilePoolFile, list, addr, ""))
 	expectTilesByEveryScheme(t, addr)
 	for len(forwarded) > 0 {
@@ -230,7 +232,7 @@
 	})
 	s, _, _ := startServing(t, startCacheServer(t, 0))
 	defer s.loop.Post(s.end)
-	addr := freeAddress(t)
+	addr := testaddress.New()
 	addTilePool(t, s, addr, fmt.Sprintf(tilePoolFile, slow, addr, ""))
 	send := func(text string) (reply string, err error) {
 		t.Helper()
@@ -290,7 +292,7 @@
 	}
 	s.runLoop(t)
 	waitServing(t, s)
-	addr := freeAddress(t)
+	addr := testaddress.New()
 	patient := strings.NewReplacer("= 500", "= 50000", "= 1900", "= 190000")
 	addTilePool(t, s, addr, patient.Replace(fmt.Sprintf(tilePoolFile, list, addr, "")))
 	for name, leave := range map[string]func(conn net.Conn){
--- a/internal/service/zones_test.go
+++ b/internal/service/zones_test.go
@@ -6,12 +6,13 @@
 	"bendtrestle/balancer"
 	"bendtrestle/internal/operatorconfig"
 	"bendtrestle/internal/policy/zonefailover"
+	"bendtrestle/internal/testaddress"
 )
 
 // Which outcomes of an attempt count against its zone. A timeout before the latency objective does not, nor does an
 // attempt that was never sent.
 func TestZoneEvidence(t *testing.T) {
-	s, _ := startProcess(t, freeAddress(t), "127.0.0.1:1", t.TempDir())
+	s, _ := startProcess(t, testaddress.New(), "127.0.0.1:1", t.TempDir())
 	runOnLoop(s, func() {
 		s.openZones(operatorconfig.File{Zones: operatorconfig.Zones{On: true}})
 		s.zones.begin()
--- a/internal/upstream/serverpool_test.go
+++ b/internal/upstream/serverpool_test.go
@@ -10,6 +10,7 @@
 
 	"bendtrestle/balancer"
 	"bendtrestle/internal/requestcore"
+	"bendtrestle/internal/testaddress"
 )
 
 // A server may close a connection right after its reply, and the router notices that only slightly later. So a
@@ -37,9 +38,7 @@
 
 func TestConnectionRefused(t *testing.T) {
 	pools := startServer(t, defaultLimits, nil)
-	free, _ := net.Listen("tcp", "127.0.0.1:0")
-	pools.onLoop(pools.loop, func() { pools.SetEndpoint(1, netip.MustParseAddrPort(free.Addr().String())) })
-	free.Close()
+	pools.onLoop(pools.loop, func() { pools.SetEndpoint(1, netip.MustParseAddrPort(testaddress.New())) })
 	outcome, _ := pools.startRead(5)
 	outcome.want(t, balancer.ConnectFailed)
 }
