Call the emulated router of the clients' tests by one connection at a time

startRouter counted requests, and called the test's reply, on the goroutines of several connections at once: two commands could both be 'the n-th', or none.

TestRetriesByOutcomeAndIdempotency and its neighbours pass with -race.

--- a/internal/emulator/clients_test.go
+++ b/internal/emulator/clients_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -20,7 +21,8 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { ln.Close() })
-	var requests int
+	var mu sync.Mutex // reply is called by one connection at a time
+	requests := 0
 	go func() {
 		for {
 			conn, err := ln.Accept()
@@ -36,8 +38,10 @@
 							id = f[1:]
 						}
 					}
+					mu.Lock()
 					requests++
 					text := reply(requests, in.Text(), id)
+					mu.Unlock()
 					if text == "close" {
 						conn.Close()
 						return
