--- a/internal/service/waitingvalue_test.go
+++ b/internal/service/waitingvalue_test.go
@@ -1,6 +1,7 @@
 package service
 
 import (
+	"bufio"
 	"fmt"
 	"net"
 	"strings"
@@ -46,19 +47,25 @@
 	}
 }
 
-// startWaitingValue starts a router with two servers, which are one listener, and sends a batch of four commands.
-func startWaitingValue(
-	t *testing.T, server *waitingValueServer, class string,
-) (s *Service, readLine func() (string, error), readLong func() error) {
+// startWaitingRouter starts a router with a list service, and returns a client's connection to it.
+func startWaitingRouter(t *testing.T, list string) (s *Service, conn net.Conn, in *bufio.Reader) {
 	t.Helper()
-	list := startListOfTwo(t, server.answer)
 	s, addr, err := assembleConfig(waitingValueConfig, list, zerolog.Nop())
 	if err != nil {
 		t.Fatal(err)
 	}
 	s.runLoop(t)
 	waitServing(t, s)
-	conn, in := dialAndSend(t, addr, "", "")
+	conn, in = dialAndSend(t, addr, "", "")
+	return s, conn, in
+}
+
+// startWaitingValue starts a router with two servers, which are one listener, and sends a batch of four commands.
+func startWaitingValue(
+	t *testing.T, server *waitingValueServer, class string,
+) (s *Service, readLine func() (string, error), readLong func() error) {
+	t.Helper()
+	s, conn, in := startWaitingRouter(t, startListOfTwo(t, server.answer))
 	for i := range 20 { // successful requests fill the retry budget
 		fmt.Fprintf(conn, "mg short v Ow%d Pc=t,d=9000\r\n", i)
 		in.ReadString('\n')
@@ -139,14 +146,8 @@
 		<-rest
 		fmt.Fprintf(conn, "%s\r\n", longValue[longLength/2:])
 	})
-	s, addr, err := assembleConfig(waitingValueConfig, list, zerolog.Nop())
-	if err != nil {
-		t.Fatal(err)
-	}
-	s.runLoop(t)
-	waitServing(t, s)
+	s, conn, in := startWaitingRouter(t, list)
 	sentAt := time.Now()
-	conn, in := dialAndSend(t, addr, "", "")
 	fmt.Fprint(conn, "mg long v Ob Pc=t,d=9000\r\nmg short v Oc Pc=t,d=9000\r\n")
 	in.Peek(1)
 	if took := time.Since(sentAt); took > 2*time.Second {
@@ -204,14 +205,7 @@
 	t.Run("the client disconnects", func(t *testing.T) {
 		server := newWaitingValueServer()
 		defer close(server.release)
-		list := startListOfTwo(t, server.answer)
-		s, addr, err := assembleConfig(waitingValueConfig, list, zerolog.Nop())
-		if err != nil {
-			t.Fatal(err)
-		}
-		s.runLoop(t)
-		waitServing(t, s)
-		conn, _ := dialAndSend(t, addr, "", "")
+		s, conn, _ := startWaitingRouter(t, startListOfTwo(t, server.answer))
 		fmt.Fprint(conn, "mg first v Oa Pc=t,d=9000\r\nmg long v Ob Pc=t,d=9000\r\n")
 		<-server.begun
 		conn.Close()
