Record the time of an emulated list service's answer before it is sent

Cause, in the emulator: it recorded when it had answered after the answer was flushed. A router that had it and continued its watch before the handler's goroutine ran again was counted as a new caller, and used up the service's rate.

The time is recorded before the answer is sent, and again after it; a write that fails takes it back. TestWatchContinuedAtOnceIsNoNewCall makes the order happen, and failed before.

--- a/internal/emulator/list.go
+++ b/internal/emulator/list.go
@@ -262,19 +262,28 @@
 	}
 }
 
-// write sends a response and records the changes that it reported.
+// write sends a response and records the changes that it reported. The time of the answer is recorded before it is
+// sent, because the router may continue its watch before this goroutine runs again.
 func (a *Agent) write(w http.ResponseWriter, response listResponse) {
 	body, _ := json.Marshal(response) // can't fail: plain fields only
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	if _, err := w.Write(body); err != nil {
-		return
+	a.list.mu.Lock()
+	previous := a.lastReport
+	a.lastReport = a.list.now()
+	a.list.mu.Unlock()
+	_, err := w.Write(body)
+	if err == nil {
+		w.(http.Flusher).Flush()
 	}
-	w.(http.Flusher).Flush()
 	a.list.mu.Lock()
+	defer a.list.mu.Unlock()
+	if err != nil {
+		a.lastReport = previous
+		return
+	}
 	a.recordReports(response)
 	a.reportedGeneration, a.lastReport = response.Generation, a.list.now()
-	a.list.mu.Unlock()
 }
 
 func (a *Agent) recordReports(response listResponse) {
--- a/internal/emulator/list_test.go
+++ b/internal/emulator/list_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -164,3 +166,29 @@
 		}
 	}
 }
+
+// flushingWriter calls a function when an answer is flushed to the router.
+type flushingWriter struct {
+	http.ResponseWriter
+	onFlush func()
+}
+
+func (w flushingWriter) Flush() { w.onFlush() }
+
+// A router may continue its watch as soon as it has the answer, before the agent's goroutine runs again. Its call must
+// not count as a new one.
+func TestWatchContinuedAtOnceIsNoNewCall(t *testing.T) {
+	fleet, _ := startFleet(t, spec("s-1"))
+	agent, list := startAgent(t, fleet), fleet.list
+	list.LimitRate(20)
+	continued := false
+	answer := flushingWriter{httptest.NewRecorder(), func() {
+		before := list.busyUntil
+		agent.serve(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/catalog/members?from=1&hold_ms=0", nil))
+		continued = list.busyUntil == before
+	}}
+	agent.serve(answer, httptest.NewRequest(http.MethodGet, "/catalog/members", nil))
+	if !continued {
+		t.Error("the continued watch took time of the list service, want none")
+	}
+}
