--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -4,4 +4,4 @@
 here=$(cd "$(dirname "$0")" && pwd)
 program=$here/../../bin/review/standin-2
 [ -x "$program" ] || exit 2
-exec "$program" refusal-said-twice "$here"
+exec "$program" answers-behind-a-slow-value "$here"
