--- a/review/standin-2/memory.go
+++ b/review/standin-2/memory.go
@@ -16,8 +16,8 @@
 func init() { cases["memory-of-held-answers"] = memoryOfHeldAnswers }
 
 const (
-	memoryMB        = 64
-	pipelineClients = 32
+	memoryMB        = 72
+	pipelineClients = 36
 	commandsAtOnce  = 32                      // of each client
 	valueBytes      = 64 << 10                // the longest value that the protocol page allows
 	hangs           = 2300 * time.Millisecond // how long the server of the first commands hangs
